--- /dev/null
+++ b/brackenwalk/__main__.py
@@ -0,0 +1,123 @@
+"""One real router: its configuration, its log, its signals."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import signal
+import sys
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from brackenwalk import interface as api
+from brackenwalk.net.clients import Listener
+from brackenwalk.net.discovery import Discovery, ListError, read_list
+from brackenwalk.net.host import Host, Member
+from brackenwalk.net.origin import OriginConnection
+from brackenwalk.net.pool import Pool, address_of
+from brackenwalk.net.servers import CacheConnection
+from brackenwalk.settings import number, read_settings, section
+
+STILL_COMING = 0.5  # seconds after SIGTERM in which new connections come: 0.2 to 0.4, and a little more
+RESERVE = 32  # descriptors for the loop, the log, the listener and discovery
+
+
+class ConfigError(ValueError):
+    """A configuration that can't be used; the message names the field."""
+
+
+@dataclass(slots=True, frozen=True)
+class Config:
+    """What the platform tells a router."""
+
+    listen: tuple[str, int]
+    discovery: str
+    seed: int
+    sockets: int
+    known_index: int
+    known: list[Member]
+    settings: api.Settings
+
+
+def read_address(table: dict[str, Any], field: str) -> str:
+    """A field of the form host:port."""
+    value = table.get(field)
+    host, _, port = value.rpartition(":") if isinstance(value, str) else ("", "", "")
+    if not host or not port.isdigit() or int(port) > 65535:
+        raise ConfigError(f"{field} must be host:port, not {value!r}")
+    return str(value)
+
+
+def read_config(text: bytes) -> Config:
+    """Check a configuration."""
+    try:
+        table = orjson.loads(text)
+    except orjson.JSONDecodeError as e:
+        raise ConfigError(f"configuration is not JSON: {e}") from e
+    if not isinstance(table, dict):
+        raise ConfigError("configuration is not an object")
+    seed = table.get("seed")
+    try:
+        seed_number = int(str(seed), 16)
+    except ValueError:
+        raise ConfigError(f"seed must be hex digits, not {seed!r}") from None
+    try:
+        settings = read_settings(table.get("settings"))
+        sockets = int(number(section(table, "limits"), "sockets", 1024, "limits.", 64))
+        index, _, known = read_list(table.get("known"), "known")
+    except (api.SettingsError, ListError) as e:
+        raise ConfigError(str(e)) from e
+    listen = address_of(read_address(table, "listen"))
+    return Config(listen, read_address(table, "discovery"), seed_number, sockets, index, known, settings)
+
+
+async def serve(config: Config) -> None:
+    """Serve until SIGTERM, and then what was taken."""
+    settings = config.settings
+    room = config.sockets - RESERVE
+    dial, idle = settings.dial_timeout, settings.connection_idle
+    servers = Pool(CacheConnection, room * 3 // 8, dial, idle)
+    origin = Pool(OriginConnection, room // 8, dial, idle)
+
+    def subscribe() -> None:
+        discovery.subscribe()
+
+    host = Host(settings, config.seed, servers, origin, subscribe)
+    discovery = Discovery(
+        config.discovery, config.known_index, settings.must_ask_in, host.list_told, host.list_failed
+    )
+    host.list_told(api.ListKind.SAVED, config.known)
+    listener = Listener(host, room // 2)
+    terminated = asyncio.Event()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, terminated.set)
+    listener.start(config.listen)
+    await terminated.wait()
+    logging.info("ending: no new connections in %g s", STILL_COMING)
+    await listener.stop(STILL_COMING)
+    discovery.close()
+    servers.close()
+    origin.close()
+
+
+def main() -> int:
+    """Run one router."""
+    logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
+    path = os.environ.get("RELAY_CONFIG", "")
+    try:
+        config = read_config(Path(path).read_bytes())
+    except OSError as e:
+        print(f"brackenwalk: RELAY_CONFIG: {e}", file=sys.stderr)
+        return 2
+    except ConfigError as e:
+        print(f"brackenwalk: {e}", file=sys.stderr)
+        return 2
+    asyncio.run(serve(config))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/brackenwalk/interface.py
+++ b/brackenwalk/interface.py
@@ -84,7 +84,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Settings:
-    """What a router is told once, at its start. Only fields that decisions use are kept."""
+    """What a router is told once, at its start. Only fields that decisions or a host use are kept."""
 
     classes: dict[str, RequestClass]
     tick: float = 0.005
@@ -97,6 +97,9 @@
     max_attempts: int = 1
     siblings: int = 1  # routers in all
     connection_idle: float = 60.0  # after this a host closes an idle connection by itself
+    dial_timeout: float = 0.25  # a connection that is not up by then has failed
+    max_retry_after: float = 0.0  # longest time to come back that clients honour
+    must_ask_in: float = 10.0  # a list not asked for this long counts as told
     connection_price: float = 0.0  # of 100 open connections at every server
     handshake_price: float = 0.0  # of a new connection for every request
     cold_share: float = 0.3
--- /dev/null
+++ b/brackenwalk/net/__init__.py
@@ -0,0 +1,1 @@
+"""The real router's sockets, round the decision module."""
--- /dev/null
+++ b/brackenwalk/net/discovery.py
@@ -0,0 +1,123 @@
+"""The list of cache servers: its entries, and the watch on its changes."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from typing import Any
+
+import orjson
+
+from brackenwalk import interface as api
+from brackenwalk.net.host import Member
+from brackenwalk.net.http import HttpClient, HttpError
+from brackenwalk.net.pool import address_of
+
+STATES = {"in_service": api.State.READY, "terminating": api.State.DRAINING, "terminated": api.State.GONE}
+MAX_LIST = 4 * 1024 * 1024
+ANSWER_MARGIN = 2.0  # for which discovery may keep a call waiting past `wait_ms`
+log = logging.getLogger(__name__)
+
+
+class ListError(ValueError):
+    """A list that can't be used; the message names the field."""
+
+
+def field(table: dict[str, Any], name: str, kind: type | tuple[type, ...], where: str) -> Any:
+    """A field of the right type."""
+    value = table.get(name)
+    if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
+        raise ListError(f"{where}{name} is missing or malformed: {str(value)[:40]}")
+    return value
+
+
+def read_member(line: Any, where: str) -> Member:
+    """One entry."""
+    if not isinstance(line, dict):
+        raise ListError(f"{where} is not an object")
+    where += "."
+    state = field(line, "status", str, where)
+    if state not in STATES:
+        raise ListError(f"{where}status is unknown: {state[:40]}")
+    address = field(line, "address", str, where)
+    host, _, port = address.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ListError(f"{where}address is not host:port: {address[:40]}")
+    entry = api.ServerEntry(
+        server=field(line, "name", str, where),
+        state=STATES[state],
+        kind=field(line, "type", str, where),
+        zone=field(line, "zone", str, where),
+        cell=field(line, "group", int, where),
+        weight=max(0.0, field(line, "weight", (int, float), where)),
+        since=field(line, "since_ms", (int, float), where) / 1000,  # Unix time, as the host's clock
+    )
+    return Member(entry, address)
+
+
+def read_list(message: Any, where: str = "") -> tuple[int, bool, list[Member]]:
+    """The version of a list, whether it is whole, and its entries."""
+    if not isinstance(message, dict):
+        raise ListError(f"{where or 'list'} is not an object")
+    where += "." if where else ""
+    lines = field(message, "endpoints", list, where)
+    members = [read_member(line, f"{where}endpoints[{i}]") for i, line in enumerate(lines)]
+    return field(message, "index", int, where), field(message, "snapshot", bool, where), members
+
+
+class Discovery:
+    """Watches the list when asked to; a call that fails ends the watch."""
+
+    def __init__(
+        self,
+        address: str,
+        index: int,
+        wait: float,
+        told: Callable[[api.ListKind, list[Member]], None],
+        failed: Callable[[], None],
+    ) -> None:
+        self.address = address
+        self.index = index
+        self.wait = wait
+        self.told = told
+        self.failed = failed
+        self.watch: asyncio.Task[None] | None = None
+
+    def subscribe(self) -> None:
+        """Begin a watch, unless one is on."""
+        if self.watch is None:
+            self.watch = asyncio.create_task(self._watch())
+
+    async def _watch(self) -> None:
+        try:
+            while True:
+                self.index, whole, members = await self._call()
+                # the next call follows at once: 200 ms later it would be a new watch, in turn with all others
+                self.told(api.ListKind.FULL if whole else api.ListKind.DELTA, members)
+        except (OSError, HttpError, ListError, orjson.JSONDecodeError, asyncio.IncompleteReadError) as e:
+            log.warning("discovery: %s", repr(e)[:200])
+        finally:
+            self.watch = None
+        self.failed()
+
+    async def _call(self) -> tuple[int, bool, list[Member]]:
+        # guards against a discovery that has gone silent: what it has to tell counts as told soon after
+        async with asyncio.timeout(self.wait + ANSWER_MARGIN):
+            reader, writer = await asyncio.open_connection(*address_of(self.address))
+            try:
+                client = HttpClient(self.address, MAX_LIST)
+                target = f"/registry/instances?after={self.index}&wait_ms={int(self.wait * 1000)}"
+                writer.write(client.request("GET", target, [(b"Connection", b"close")]))
+                response = None
+                while response is None:
+                    response = client.receive(await reader.read(65536))
+            finally:
+                writer.close()
+        if response.status != 200:
+            raise ListError(f"answered {response.status}")
+        return read_list(orjson.loads(response.body))
+
+    def close(self) -> None:
+        if self.watch is not None:
+            self.watch.cancel()
--- /dev/null
+++ b/brackenwalk/net/host.py
@@ -0,0 +1,244 @@
+"""Hosts the decision module: its clock and timers, and the table of requests and attempts.
+
+Turns what happens on sockets into events, carries out the actions in order, and decides nothing.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from brackenwalk import interface as api
+from brackenwalk.net.command import Command
+from brackenwalk.net.pool import Exchange, Pool
+from brackenwalk.policy import Router
+
+# before the client's deadline, which counts from its send: the way here and back, and this loop's own delay
+DEADLINE_MARGIN = 0.02
+log = logging.getLogger(__name__)
+
+
+class Clock:
+    """Unix time, read once; from then on it never jumps."""
+
+    def __init__(self) -> None:
+        self.offset = time.time() - time.monotonic()
+
+    def now(self) -> float:
+        return self.offset + time.monotonic()
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One send of a request that has had no outcome yet."""
+
+    number: int
+    sent_at: float
+    exchange: Exchange | None = None
+    timer: asyncio.TimerHandle | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Taken:
+    """A request, kept until its deadline has passed and nothing of it is out."""
+
+    command: Command
+    deadline: float
+    answer: Callable[[bytes], None]
+    sent: int = 0  # attempts, whatever became of them
+    closed: bool = False  # answered, or its client is gone
+    overdue: bool = False
+    attempts: dict[int, Attempt] = field(default_factory=dict)
+
+
+@dataclass(slots=True, frozen=True)
+class Member:
+    """A cache server or origin of this router's own list."""
+
+    entry: api.ServerEntry
+    address: str
+
+
+class Host:
+    """One router and what it has going on."""
+
+    def __init__(
+        self, settings: api.Settings, seed: int, servers: Pool, origin: Pool, subscribe: Callable[[], None]
+    ) -> None:
+        self.settings = settings
+        self.servers = servers
+        self.origin = origin
+        self.subscribe = subscribe
+        self.clock = Clock()
+        self.router = Router(settings, seed, self.clock.now())
+        self.members: dict[str, Member] = {}
+        self.requests: dict[str, Taken] = {}
+        self.events: deque[api.Event] = deque()
+        self.handling = False
+
+    def post(self, event: api.Event) -> None:
+        """Hand an event to the module; one that comes while actions are carried out waits its turn."""
+        self.events.append(event)
+        if self.handling:
+            return
+        self.handling = True
+        try:
+            while self.events:
+                for action in self.router.handle(self.clock.now(), self.events.popleft()):
+                    self._carry_out(action)
+        finally:
+            self.handling = False
+
+    def _carry_out(self, action: api.Action) -> None:
+        match action:
+            case api.Send():
+                self._send(action)
+            case api.Refuse():
+                self._close(action.request, b"-BUSY\r\n")
+            case api.Fail():
+                self._close(action.request, b"-ERR failed\r\n")
+            case api.Cancel():
+                self._cancel(action)
+            case api.Close():
+                if action.server in self.members:
+                    self._pool(action.server).close_idle(self.members[action.server].address)
+            case api.SetTimer():
+                loop = asyncio.get_running_loop()
+                loop.call_later(action.delay, self.post, api.TimerFired(action.token))
+            case api.Subscribe():
+                self.subscribe()
+            case api.Log():
+                log.info("%s", action.text)
+
+    # The list
+
+    def ready(self) -> bool:
+        """Whether any cache server may be sent to."""
+        return any(m.entry.ready and not self._is_origin(m) for m in self.members.values())
+
+    def list_failed(self) -> None:
+        self.post(api.ServerList(api.ListKind.FAILED))
+
+    def list_told(self, kind: api.ListKind, members: list[Member]) -> None:
+        """Take a list or its changes."""
+        if kind is not api.ListKind.DELTA:
+            self.members = {}
+        for member in members:
+            name = member.entry.server
+            if member.entry.state is api.State.GONE:
+                self.members.pop(name, None)
+            else:
+                self.members[name] = member
+        self.post(api.ServerList(kind, tuple(m.entry for m in members)))
+
+    def _is_origin(self, member: Member) -> bool:
+        return self.settings.aside and member.entry.kind == self.settings.origin_kind
+
+    def _pool(self, server: str) -> Pool:
+        return self.origin if self._is_origin(self.members[server]) else self.servers
+
+    # Requests
+
+    def take(self, command: Command, answer: Callable[[bytes], None]) -> str | None:
+        """Take a request that is owed one `answer`; None when one with its id is still known."""
+        name = command.request.decode()
+        # guards the table: two requests under one id would get each other's answers
+        if name in self.requests:
+            return None
+        time_left = max(0.0, command.deadline_ms / 1000 - DEADLINE_MARGIN)
+        self.requests[name] = Taken(command, self.clock.now() + time_left, answer)
+        asyncio.get_running_loop().call_later(time_left, self._overdue, name)
+        hint = command.info.get("h", "")
+        request = api.Request(
+            name,
+            command.info.get("c", ""),
+            time_left,
+            command.key.decode("latin-1"),
+            int(hint) / 1e6 if hint.isdigit() else None,
+            command.write,
+        )
+        self.post(request)
+        return name
+
+    def client_gone(self, name: str) -> None:
+        """The client of a request closed its connection."""
+        taken = self.requests.get(name)
+        if taken is not None and not taken.closed:
+            taken.closed = True
+            self.post(api.ClientGone(name))
+
+    def _overdue(self, name: str) -> None:
+        """The deadline: attempts still out time out, and an ended request is forgotten."""
+        taken = self.requests[name]
+        taken.overdue = True
+        for attempt in list(taken.attempts.values()):
+            self._time_out(taken, attempt)
+        if taken.closed:
+            del self.requests[name]
+
+    def _close(self, name: str, answer: bytes) -> None:
+        """Give a request its one answer."""
+        taken = self.requests.get(name)
+        if taken is None or taken.closed:
+            return
+        taken.closed = True
+        taken.answer(answer)
+        if taken.overdue:
+            del self.requests[name]
+
+    # Attempts
+
+    def _send(self, action: api.Send) -> None:
+        taken = self.requests.get(action.request)
+        if taken is None:
+            log.error("a send for %s, which is long over", action.request)
+            return
+        now = self.clock.now()
+        attempt = Attempt(taken.sent, now)
+        taken.sent += 1
+        taken.attempts[attempt.number] = attempt
+        over = taken.closed or taken.overdue or attempt.number >= self.settings.max_attempts
+        if over or action.server not in self.members:
+            self._finish(taken, attempt, api.Status.MOOT if over else api.Status.CONNECT_FAILED)
+            return
+        time_left = taken.deadline - now
+        if action.timeout is not None and action.timeout < time_left:
+            time_left = action.timeout
+            loop = asyncio.get_running_loop()
+            attempt.timer = loop.call_later(time_left, self._time_out, taken, attempt)
+
+        def done(status: api.Status, value: bytes) -> None:
+            self._finish(taken, attempt, status, value)
+
+        address = self.members[action.server].address
+        attempt.exchange = self._pool(action.server).start(address, taken.command, time_left, done)
+
+    def _cancel(self, action: api.Cancel) -> None:
+        taken = self.requests.get(action.request)
+        attempt = taken.attempts.get(action.attempt) if taken is not None else None
+        if taken is not None and attempt is not None:
+            self._give_up(taken, attempt, api.Status.CANCELLED)
+
+    def _time_out(self, taken: Taken, attempt: Attempt) -> None:
+        self._give_up(taken, attempt, api.Status.TIMEOUT)
+
+    def _give_up(self, taken: Taken, attempt: Attempt, status: api.Status) -> None:
+        if attempt.exchange is not None:
+            attempt.exchange.abandon()
+        self._finish(taken, attempt, status)
+
+    def _finish(self, taken: Taken, attempt: Attempt, status: api.Status, value: bytes = b"") -> None:
+        """Give an attempt its one outcome; the first that served answers the client."""
+        if taken.attempts.pop(attempt.number, None) is None:
+            return
+        if attempt.timer is not None:
+            attempt.timer.cancel()
+        name = taken.command.request.decode()
+        if status is api.Status.OK:
+            self._close(name, b"$%d\r\n%b\r\n" % (len(value), value))
+        latency = self.clock.now() - attempt.sent_at
+        self.post(api.Outcome(name, attempt.number, status, taken.closed, latency))
--- /dev/null
+++ b/brackenwalk/net/http.py
@@ -0,0 +1,74 @@
+"""One HTTP/1.1 request and its response at a time, as bytes in and out."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import h11
+
+
+class HttpError(Exception):
+    """A response that breaks the protocol, the bound on its size, or off."""
+
+
+@dataclass(slots=True, frozen=True)
+class Response:
+    """A whole response; header names are in lower case."""
+
+    status: int
+    headers: dict[bytes, bytes]
+    body: bytes
+
+
+class HttpClient:
+    """The client's side of one connection."""
+
+    def __init__(self, address: str, max_body: int) -> None:
+        self.address = address
+        self.max_body = max_body
+        self.connection = h11.Connection(h11.CLIENT)
+        self.head: h11.Response | None = None
+        self.body = bytearray()
+
+    def request(
+        self, method: str, target: str, headers: list[tuple[bytes, bytes]], body: bytes | None = None
+    ) -> bytes:
+        """The bytes of a request."""
+        if self.connection.our_state is not h11.IDLE:
+            self.connection.start_next_cycle()
+        self.head = None
+        self.body.clear()
+        fields = [(b"Host", self.address.encode()), *headers]
+        if body is not None:
+            fields.append((b"Content-Length", str(len(body)).encode()))
+        events: list[h11.Event] = [h11.Request(method=method, target=target, headers=fields)]
+        if body:
+            events.append(h11.Data(data=body))
+        events.append(h11.EndOfMessage())
+        return b"".join(self.connection.send(e) or b"" for e in events)
+
+    def receive(self, data: bytes) -> Response | None:
+        """Take bytes, none at the connection's end, and answer with the response once it is whole."""
+        try:
+            self.connection.receive_data(data)
+            while True:
+                event = self.connection.next_event()
+                if event is h11.NEED_DATA:
+                    return None
+                if isinstance(event, h11.Response):
+                    self.head = event
+                elif isinstance(event, h11.Data):
+                    self.body += event.data
+                    if len(self.body) > self.max_body:
+                        raise HttpError(f"body of over {self.max_body} bytes")
+                elif isinstance(event, h11.EndOfMessage) and self.head is not None:
+                    return Response(self.head.status_code, dict(self.head.headers), bytes(self.body))
+                elif not isinstance(event, h11.InformationalResponse):
+                    raise HttpError(f"no response but {event!r}")
+        except h11.RemoteProtocolError as e:
+            raise HttpError(str(e)) from e
+
+    def reusable(self) -> bool:
+        """Whether another request may follow."""
+        ended = self.connection.our_state is self.connection.their_state is h11.DONE
+        return ended and not self.connection.trailing_data[0]
--- /dev/null
+++ b/brackenwalk/net/origin.py
@@ -0,0 +1,49 @@
+"""Attempts on the origin, which speaks HTTP/1.1."""
+
+from __future__ import annotations
+
+from urllib.parse import quote_from_bytes
+
+from brackenwalk.interface import Status
+from brackenwalk.net.command import MAX_VALUE, Command
+from brackenwalk.net.http import HttpClient, HttpError
+from brackenwalk.net.pool import Answer, Connection, MalformedAnswer, Pool
+
+
+class OriginConnection(Connection):
+    """A connection to the origin."""
+
+    def __init__(self, pool: Pool, address: str) -> None:
+        super().__init__(pool, address)
+        self.client = HttpClient(address, MAX_VALUE)
+
+    def encode(self, command: Command, time_left: float) -> bytes:
+        # guards against a key that spells another path or a query: all but unreserved letters is escaped
+        target = "/" + quote_from_bytes(command.key, safe="")
+        headers = [(b"Request-Id", command.request), (b"Request-Info", command.info_for(time_left))]
+        return self.client.request("PUT" if command.write else "GET", target, headers, command.value)
+
+    def decode(self, data: bytes) -> Answer | None:
+        try:
+            response = self.client.receive(data)
+        except HttpError as e:
+            raise MalformedAnswer(str(e)) from e
+        if response is None:
+            return None
+        if response.status == 200:
+            return Status.OK, response.body
+        not_started = response.status in (503, 504) and response.headers.get(b"not-started") == b"1"
+        return (Status.FULL if not_started else Status.ERROR), b""
+
+    def eof_received(self) -> None:
+        """A body may end with its connection; one cut short is a reset, told by `connection_lost`."""
+        try:
+            answer = self.decode(b"")
+        except MalformedAnswer:
+            return
+        exchange, self.exchange = self.exchange, None
+        if answer is not None and exchange is not None:
+            exchange.finish(*answer)
+
+    def reusable(self) -> bool:
+        return self.client.reusable()
--- a/brackenwalk/wirehost.py
+++ b/brackenwalk/wirehost.py
@@ -10,8 +10,8 @@
 
 from brackenwalk import interface as api
 from brackenwalk.policy import Router
+from brackenwalk.settings import read_settings
 
-EFFECTS = {"free": api.Effect.SAFE, "guarded": api.Effect.KEYED, "single_shot": api.Effect.UNSAFE}
 STATES = {"active": api.State.READY, "leaving": api.State.DRAINING, "left": api.State.GONE}
 KINDS = {
     "INCREMENTAL": api.ListKind.DELTA,
@@ -36,95 +36,6 @@
     """A line that breaks the wire's promises."""
 
 
-def number(table: dict[str, Any], field: str, default: float, where: str, least: float = 0.0) -> float:
-    """Read a number of the settings, or its default when absent; name the field when it can't be used."""
-    value = table.get(field)
-    if value is None:
-        return default
-    if isinstance(value, bool) or not isinstance(value, (int, float)) or value < least:
-        raise api.SettingsError(
-            f"settings: {where}{field} must be a number of at least {least:g}, not {value!r}"
-        )
-    return value
-
-
-def choice(table: dict[str, Any], field: str, default: str, known: dict[str, Any], where: str) -> Any:
-    """Read one of a few known words."""
-    value = table.get(field)
-    value = default if value is None else value
-    if not isinstance(value, str) or value not in known:
-        raise api.SettingsError(f"settings: {where}{field} must be one of {', '.join(known)}, not {value!r}")
-    return known[value]
-
-
-def section(conf: dict[str, Any], field: str) -> dict[str, Any]:
-    """Read a nested object, empty when absent."""
-    value = conf.get(field)
-    if value is None:
-        return {}
-    if not isinstance(value, dict):
-        raise api.SettingsError(f"settings: {field} must be an object, not {value!r}")
-    return value
-
-
-def rows(conf: dict[str, Any], field: str) -> list[dict[str, Any]]:
-    """Read a list of named objects, empty when absent."""
-    value = conf.get(field)
-    value = [] if value is None else value
-    if not isinstance(value, list) or not all(isinstance(r, dict) for r in value):
-        raise api.SettingsError(f"settings: {field} must be a list of objects")
-    for i, row in enumerate(value):
-        if not isinstance(row.get("name"), str):
-            raise api.SettingsError(f"settings: {field}[{i}].name is missing")
-    return value
-
-
-def read_class(row: dict[str, Any]) -> api.RequestClass:
-    """One class of the settings."""
-    where = f"classes[{row['name']}]."
-    groups = {g.value: g for g in api.Group}
-    return api.RequestClass(
-        name=row["name"],
-        aim=number(row, "aim", number(row, "giveUp", 1.0, where), where),
-        effect=choice(row, "effect", "single_shot", EFFECTS, where),
-        group=choice(row, "group", "cell", groups, where),
-        window=number(row, "repeatWindow", 0.0, where),
-        worth=number(row, "value", 1.0, where),
-    )
-
-
-def read_settings(conf: Any) -> api.Settings:
-    """The wire's settings as the module's; unknown keys are ignored and absent ones take defaults."""
-    if not isinstance(conf, dict):
-        raise api.SettingsError("settings: conf must be an object")
-    classes = {row["name"]: read_class(row) for row in rows(conf, "classes")}
-    if not classes:
-        raise api.SettingsError("settings: classes is empty")
-    limits, rules, info = section(conf, "limits"), section(conf, "rules"), section(conf, "familyInfo")
-    prices = section(conf, "penalties")
-    kinds = conf.get("skus") or []
-    origin = int(number(info, "originKind", -1, "familyInfo.", -1))
-    return api.Settings(
-        classes=classes,
-        tick=number(conf, "resolution", 0.005, ""),
-        aside=choice(info, "mode", "through", {"aside": True, "through": False}, "familyInfo."),
-        origin_kind=str(kinds[origin]) if 0 <= origin < len(kinds) else None,
-        subscribe=choice(conf, "membershipMode", "automatic", {"subscribe": True, "automatic": False}, ""),
-        live_weights=conf.get("weights") == "live",
-        second_copies=bool(limits.get("secondCopies", False)),
-        may_cancel=bool(limits.get("mayCancel", False)),
-        max_attempts=max(1, int(number(limits, "mostTries", 1, "limits."))),
-        siblings=max(1, int(number(conf, "siblings", 1, ""))),
-        connection_idle=number(limits, "connIdle", 60.0, "limits."),
-        connection_price=number(prices, "connection", 0.0, "penalties."),
-        handshake_price=number(prices, "handshake", 0.0, "penalties."),
-        cold_share=number(rules, "coldFrom", 0.3, "rules."),
-        ramp=number(rules, "rampTime", 10.0, "rules."),
-        fall_multiple=number(rules, "fallMultiple", 2.0, "rules."),
-        fall_window=number(rules, "overloadFor", 1.0, "rules."),
-    )
-
-
 def read_entry(e: dict[str, Any]) -> api.ServerEntry:
     """One line of a list."""
     return api.ServerEntry(
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -13,7 +13,8 @@
 
 from brackenwalk import interface as api
 from brackenwalk import wirehost
-from brackenwalk.wirehost import Host, WireError, read_settings
+from brackenwalk.settings import read_settings
+from brackenwalk.wirehost import Host, WireError
 
 ROOT = Path(__file__).parent.parent
 CONF: dict[str, Any] = {
