--- /dev/null
+++ b/tests/loopback.py
@@ -0,0 +1,184 @@
+"""Scripted peers on loopback: a test takes what the router sent and says what goes back."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from types import TracebackType
+from typing import Any, Self
+
+import hiredis
+
+from brackenwalk import interface as api
+from brackenwalk.net.clients import Listener
+from brackenwalk.net.host import Host, Member
+from brackenwalk.net.origin import OriginConnection
+from brackenwalk.net.pool import Pool
+from brackenwalk.net.servers import CacheConnection
+
+PATIENCE = 10.0  # seconds until a test that waits for an event fails
+HIT = b"*3\r\n$5\r\nvalue\r\n$3\r\nhit\r\n$-1\r\n"
+MISS = b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n"
+READ = api.RequestClass("read", aim=1.0)
+BOOK = api.RequestClass("book", 1.0, api.Effect.KEYED, api.Group.ALL, window=15.0, worth=3.0)
+SETTINGS = api.Settings(
+    classes={"read": READ, "book": BOOK},
+    aside=True,
+    origin_kind="origin",
+    may_cancel=True,
+    second_copies=True,
+    max_attempts=4,
+    max_retry_after=2.0,
+)
+
+
+def run(scenario: Callable[[], Awaitable[None]]) -> None:
+    """Play a test to its end, or fail it when it waits for what never comes."""
+
+    async def bounded() -> None:
+        async with asyncio.timeout(PATIENCE):
+            await scenario()
+
+    asyncio.run(bounded())
+
+
+def http(status: str, body: bytes = b"", *headers: str) -> bytes:
+    lines = [f"HTTP/1.1 {status}", f"Content-Length: {len(body)}", *headers, "", ""]
+    return "\r\n".join(lines).encode() + body
+
+
+def command(*parts: str | bytes) -> bytes:
+    return bytes(hiredis.pack_command(parts))  # type: ignore[arg-type]
+
+
+def read(request: str, key: str = "k", info: str = "c=read,t=x,d=2000") -> bytes:
+    return command("C.GET", key, request, info)
+
+
+def book(request: str, key: str = "k", value: bytes = b"slot") -> bytes:
+    return command("C.SET", key, request, "c=book,t=x,d=2000,k=5c0f", value)
+
+
+class Link:
+    """One connection, seen from the test's end."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader = reader
+        self.writer = writer
+        self.parser = hiredis.Reader(notEnoughData=Ellipsis)
+
+    def write(self, data: bytes) -> None:
+        self.writer.write(data)
+
+    async def resp(self) -> Any:
+        """The next RESP message."""
+        while (message := self.parser.gets()) is Ellipsis:
+            data = await self.reader.read(65536)
+            assert data, "the connection ended"
+            self.parser.feed(data)
+        return message
+
+    async def http(self) -> tuple[str, dict[str, str], bytes]:
+        """The next HTTP request: its first line, headers and body."""
+        first, *rest = (await self.reader.readuntil(b"\r\n\r\n")).decode().strip().split("\r\n")
+        headers = {k.lower(): v for k, v in (line.split(": ", 1) for line in rest)}
+        return first, headers, await self.reader.readexactly(int(headers.get("content-length", 0)))
+
+    async def ended(self) -> bool:
+        """Wait for the other side to close."""
+        try:
+            return await self.reader.read() == b""
+        except ConnectionResetError:
+            return True
+
+    def close(self) -> None:
+        self.writer.close()
+
+    def reset(self) -> None:
+        """End with a reset."""
+        peer = self.writer.get_extra_info("socket")
+        peer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.writer.transport.abort()
+
+
+class Peer:
+    """A server whose every connection the test takes in hand."""
+
+    def __init__(self) -> None:
+        self.links: asyncio.Queue[Link] = asyncio.Queue()
+
+    async def __aenter__(self) -> Self:
+        self.server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
+        self.address = "%s:%d" % self.server.sockets[0].getsockname()
+        return self
+
+    async def __aexit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        self.server.close()
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.links.put_nowait(Link(reader, writer))
+
+    async def link(self) -> Link:
+        """The next connection made to it."""
+        return await self.links.get()
+
+
+def member(name: str, address: str, kind: str = "std", **fields: Any) -> Member:
+    return Member(api.ServerEntry(name, kind=kind, weight=1.0, **fields), address)
+
+
+class Router:
+    """A host with its listener between two caches and an origin."""
+
+    def __init__(self, settings: api.Settings = SETTINGS, listed: bool = True, clients: int = 16) -> None:
+        self.listed = listed
+        self.subscribed = 0
+        self.caches = {"a": Peer(), "b": Peer()}
+        self.origin = Peer()
+        self.servers = Pool(CacheConnection, 16, 1.0, 60.0)
+        self.origins = Pool(OriginConnection, 16, 1.0, 60.0)
+        self.host = Host(settings, 1, self.servers, self.origins, self._subscribe)
+        self.listener = Listener(self.host, clients)
+
+    def _subscribe(self) -> None:
+        self.subscribed += 1
+
+    async def __aenter__(self) -> Self:
+        for peer in (*self.caches.values(), self.origin):
+            await peer.__aenter__()
+        if self.listed:
+            self.list("a", "b")
+        self.listener.start(("127.0.0.1", 0))
+        return self
+
+    def list(self, *names: str) -> None:
+        members = [member(n, self.caches[n].address) for n in names]
+        origin = member("o", self.origin.address, "origin")
+        self.host.list_told(api.ListKind.FULL, [*members, origin])
+
+    async def __aexit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        for connection in list(self.listener.connections):
+            connection.transport.abort()
+        await self.listener.stop(0.0)
+        self.servers.close()
+        self.origins.close()
+        for peer in (*self.caches.values(), self.origin):
+            await peer.__aexit__(kind, error, trace)
+
+    async def client(self) -> Link:
+        """A new client's connection."""
+        return Link(*await asyncio.open_connection(*self.listener.socket.getsockname()))
+
+    async def cache(self) -> Link:
+        """The next connection to either cache."""
+        waits = [asyncio.create_task(p.link()) for p in self.caches.values()]
+        done, others = await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+        for other in others:
+            other.cancel()
+        return done.pop().result()
--- /dev/null
+++ b/tests/test_net_pool.py
@@ -0,0 +1,339 @@
+"""Attempts on cache servers and the origin: outcomes turn on whether the request may have run."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+
+import pytest
+
+from brackenwalk.interface import Status
+from brackenwalk.net import pool as pools
+from brackenwalk.net.command import Command
+from brackenwalk.net.origin import OriginConnection
+from brackenwalk.net.pool import Exchange, Pool
+from brackenwalk.net.servers import CacheConnection
+from tests.loopback import HIT, MISS, Link, Peer, http, run
+
+GET = Command(b"C.GET", b"k", b"r1", {"c": "read", "d": "900"}, 900)
+HUGE = Command(b"C.SET", b"k", b"r1", {"c": "book", "d": "900"}, 900, b"x" * 32_000_000)
+LONG = b"$70000\r\n" + b"x" * 70000
+
+
+class Ends:
+    """Starts attempts and collects how they end."""
+
+    def __init__(self, pool: Pool) -> None:
+        self.pool = pool
+        self.results: asyncio.Queue[tuple[Status, bytes]] = asyncio.Queue()
+
+    def start(self, address: str, command: Command = GET) -> Exchange:
+        return self.pool.start(address, command, 0.5, lambda s, v: self.results.put_nowait((s, v)))
+
+    async def end(self) -> tuple[Status, bytes]:
+        return await self.results.get()
+
+
+def caches(budget: int = 8, idle: float = 60.0, dial: float = 1.0) -> Ends:
+    return Ends(Pool(CacheConnection, budget, dial, idle))
+
+
+@pytest.mark.parametrize(
+    ("answer", "status", "value"),
+    [
+        (HIT, Status.OK, b"value"),
+        (b"*3\r\n$0\r\n\r\n$-1\r\n$-1\r\n", Status.OK, b""),
+        (MISS, Status.MISS, b""),
+        (b"-BUSY\r\n", Status.FULL, b""),
+        (b"-ERR failed\r\n", Status.ERROR, b""),
+        (b"-ERR failed inflight=7,queue=2\r\n", Status.ERROR, b""),
+    ],
+)
+def test_answers_of_a_cache_server(answer: bytes, status: Status, value: bytes) -> None:
+    async def scenario() -> None:
+        async with Peer() as peer:
+            ends = caches()
+            ends.start(peer.address)
+            link = await peer.link()
+            assert await link.resp() == [b"C.GET", b"k", b"r1", b"c=read,d=500"]
+            link.write(answer)
+            assert await ends.end() == (status, value)
+            ends.start(peer.address)  # and the connection is kept
+            await link.resp()
+            ends.pool.close()
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("answer", [b"hello\r\n", b"*0\r\n", b":3\r\n", b"*1\r\n:3\r\n", LONG, b"*9999999999\r\n"])
+def test_a_malformed_answer_may_have_run_and_ends_its_connection(answer: bytes) -> None:
+    """What follows on such a connection can't be told from the answer to a later request."""
+
+    async def scenario() -> None:
+        async with Peer() as peer:
+            ends = caches()
+            ends.start(peer.address)
+            link = await peer.link()
+            await link.resp()
+            link.write(answer)
+            assert await ends.end() == (Status.ERROR, b"")
+            assert await link.ended() and not ends.pool.connections
+
+    run(scenario)
+
+
+def test_more_than_an_answer_ends_the_connection() -> None:
+    """The rest would be taken for the answer to the next request, which would get another's value."""
+
+    async def scenario() -> None:
+        async with Peer() as peer:
+            ends = caches()
+            ends.start(peer.address)
+            link = await peer.link()
+            await link.resp()
+            link.write(HIT + HIT)
+            assert await ends.end() == (Status.OK, b"value")
+            assert await link.ended() and not ends.pool.idle
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("how", ["close", "reset"])
+def test_a_break_after_the_last_byte_may_have_run(how: str) -> None:
+    async def scenario() -> None:
+        async with Peer() as peer:
+            ends = caches()
+            ends.start(peer.address)
+            link = await peer.link()
+            await link.resp()
+            getattr(link, how)()
+            assert await ends.end() == (Status.RESET, b"")
+
+    run(scenario)
+
+
+def test_a_break_before_the_last_byte_never_ran() -> None:
+    """Counted as a reset, an unsafe request could not be tried elsewhere though it can't have run."""
+
+    async def scenario() -> None:
+        async with Peer() as peer:
+            ends = caches()
+            ends.start(peer.address, HUGE)
+            link = await peer.link()
+            await link.reader.read(1)
+            link.reset()
+            assert await ends.end() == (Status.CONNECT_FAILED, b"")
+
+    run(scenario)
+
+
+def test_a_request_written_in_pieces_may_have_run_once_all_are() -> None:
+    async def scenario() -> None:
+        async with Peer() as peer:
+            ends = caches()
+            ends.start(peer.address, HUGE)
+            link = await peer.link()
+            assert len(await link.resp()) == 5
+            link.reset()
+            assert await ends.end() == (Status.RESET, b"")
+
+    run(scenario)
+
+
+def test_a_refused_connection_never_ran() -> None:
+    async def scenario() -> None:
+        async with Peer() as peer:
+            address = peer.address
+        ends = caches()
+        ends.start(address)
+        assert await ends.end() == (Status.CONNECT_FAILED, b"")
+        assert not ends.pool.dials and not ends.pool.connections
+
+    run(scenario)
+
+
+def test_a_connection_that_never_comes_up_is_given_up() -> None:
+    """A machine cut off says nothing: without a limit on dialling the request waits out its deadline."""
+
+    async def scenario() -> None:
+        with socket.socket() as full, socket.socket() as first:
+            full.bind(("127.0.0.1", 0))
+            full.listen(0)  # room for one, which `first` takes; the next gets no answer
+            first.connect(full.getsockname())
+            ends = caches(dial=0.05)
+            ends.start("%s:%d" % full.getsockname())
+            assert await ends.end() == (Status.CONNECT_FAILED, b"")
+
+    run(scenario)
+
+
+def test_a_kept_connection_that_was_closed_is_not_used() -> None:
+    """A request written to it would end as a reset, and an unsafe one would be failed for nothing."""
+
+    async def scenario() -> None:
+        loop = asyncio.get_running_loop()
+        with socket.create_server(("127.0.0.1", 0)) as server:
+            server.setblocking(False)
+            address = "%s:%d" % server.getsockname()
+            ends = caches()
+            ends.start(address)
+            first, _ = await loop.sock_accept(server)
+            await loop.sock_recv(first, 4096)
+            await loop.sock_sendall(first, HIT)
+            await ends.end()
+            first.close()  # and the loop has not looked since
+            ends.start(address)
+            second, _ = await loop.sock_accept(server)
+            await loop.sock_recv(second, 4096)
+            await loop.sock_sendall(second, MISS)
+            assert await ends.end() == (Status.MISS, b"")
+            second.close()
+
+    run(scenario)
+
+
+def test_a_kept_connection_is_closed_before_its_server_would() -> None:
+    """One used just as the server closes it loses the request that is written to it."""
+
+    async def scenario() -> None:
+        async with Peer() as peer:
+            ends = caches(idle=pools.IDLE_MARGIN + 0.01)
+            ends.start(peer.address)
+            link = await peer.link()
+            await link.resp()
+            link.write(HIT)
+            assert await ends.end() == (Status.OK, b"value")
+            assert await link.ended() and not ends.pool.connections
+
+    run(scenario)
+
+
+def test_giving_up_closes_the_connection() -> None:
+    """Left open, the server would go on working, and its late answer would meet the next request."""
+
+    async def scenario() -> None:
+        async with Peer() as peer:
+            ends = caches()
+            exchange = ends.start(peer.address)
+            link = await peer.link()
+            await link.resp()
+            exchange.abandon()
+            assert await link.ended() and ends.results.empty()
+
+    run(scenario)
+
+
+def test_giving_up_while_dialling_sends_nothing() -> None:
+    async def scenario() -> None:
+        async with Peer() as peer:
+            ends = caches()
+            exchange = ends.start(peer.address)
+            exchange.abandon()
+            assert exchange.dial is not None
+            await asyncio.wait([exchange.dial])
+            ends.start(peer.address)
+            link = await peer.link()
+            assert (await link.resp())[2] == b"r1"
+            assert len(ends.pool.connections) == 1 and ends.results.empty()
+            ends.pool.close()
+
+    run(scenario)
+
+
+def test_connections_stay_within_their_budget() -> None:
+    """Without it a burst takes the descriptors that clients need, and nobody can connect any more."""
+
+    async def scenario() -> None:
+        async with Peer() as one, Peer() as other:
+            ends = caches(budget=1)
+            ends.start(one.address)
+            link = await one.link()
+            await link.resp()
+            ends.start(other.address)
+            assert await ends.end() == (Status.CONNECT_FAILED, b"")
+            link.write(HIT)
+            assert await ends.end() == (Status.OK, b"value")
+            ends.start(other.address)  # an idle one makes room
+            assert await link.ended()
+            await (await other.link()).resp()
+            ends.pool.close()
+
+    run(scenario)
+
+
+async def asked(peer: Peer, ends: Ends, command: Command = GET) -> tuple[Link, str, dict[str, str], bytes]:
+    ends.start(peer.address, command)
+    link = await peer.link()
+    return link, *await link.http()
+
+
+@pytest.mark.parametrize(
+    ("answer", "status", "value"),
+    [
+        (http("200 OK", b"value"), Status.OK, b"value"),
+        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nva\r\n0\r\n\r\n", Status.OK, b"va"),
+        (b"HTTP/1.1 100 Continue\r\n\r\n" + http("200 OK", b"v"), Status.OK, b"v"),
+        (http("500 Error"), Status.ERROR, b""),
+        (http("503 Busy", b"", "Not-Started: 1"), Status.FULL, b""),
+        (http("504 Late", b"", "Not-Started: 1"), Status.FULL, b""),
+        (http("503 Busy"), Status.ERROR, b""),
+        (http("500 Error", b"", "Not-Started: 1"), Status.ERROR, b""),
+        (http("404 None"), Status.ERROR, b""),
+    ],
+)
+def test_answers_of_the_origin(answer: bytes, status: Status, value: bytes) -> None:
+    async def scenario() -> None:
+        async with Peer() as peer:
+            ends = Ends(Pool(OriginConnection, 8, 1.0, 60.0))
+            link, first, headers, _ = await asked(peer, ends)
+            assert first == "GET /k HTTP/1.1"
+            assert (headers["request-id"], headers["request-info"]) == ("r1", "c=read,d=500")
+            link.write(answer)
+            assert await ends.end() == (status, value)
+            ends.start(peer.address)  # and the connection is kept
+            await link.http()
+            ends.pool.close()
+
+    run(scenario)
+
+
+@pytest.mark.parametrize(
+    ("answer", "status"),
+    [
+        (b"hello\r\n\r\n", Status.ERROR),
+        (http("200 OK", b"x" * 70000), Status.ERROR),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nval", Status.RESET),
+        (b"HTTP/1.1 200 OK\r\n\r\nvalue", Status.OK),  # its end is the connection's
+        (b"", Status.RESET),
+    ],
+)
+def test_malformed_and_broken_answers_of_the_origin(answer: bytes, status: Status) -> None:
+    async def scenario() -> None:
+        async with Peer() as peer:
+            ends = Ends(Pool(OriginConnection, 8, 1.0, 60.0))
+            link, *_ = await asked(peer, ends)
+            link.write(answer)
+            link.close()
+            assert (await ends.end())[0] is status
+            assert await link.ended() and not ends.pool.idle
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("key", [b"a/../b", b"a?x=1", b"a b", b"a\r\nX: y", b"%2e", "ó".encode(), b"\xff#"])
+def test_a_key_stays_one_segment_of_the_path(key: bytes) -> None:
+    """A key that spells another path would fetch, or overwrite, what nobody asked for."""
+
+    async def scenario() -> None:
+        async with Peer() as peer:
+            ends = Ends(Pool(OriginConnection, 8, 1.0, 60.0))
+            put = Command(b"C.SET", key, b"r1", {"d": "900"}, 900, b"slot")
+            _, first, _, body = await asked(peer, ends, put)
+            method, path, _ = first.split(" ")
+            assert method == "PUT" and body == b"slot"
+            assert not set(path[1:]) & set("/?# ") and path == "/" + "".join(
+                chr(c) if chr(c).isalnum() and c < 128 or c in b"-._~" else f"%{c:02X}" for c in key
+            )
+            ends.pool.close()
+
+    run(scenario)
