Forget an overdue request once; say in the log how long a failed call took

Tests passed over it, since asyncio only logs what a callback raises; now any such fault fails the test.

--- a/brackenwalk/net/discovery.py
+++ b/brackenwalk/net/discovery.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import time
 from collections.abc import Callable
 from typing import Any
 
@@ -95,6 +96,7 @@
     async def _watch(self) -> None:
         try:
             while True:
+                began = time.monotonic()
                 self.index, whole, members = await self._call()
                 self.told(api.ListKind.FULL if whole else api.ListKind.DELTA, members)
                 if not members:
@@ -102,7 +104,12 @@
         except Exception as e:
             # guards the list: whatever went wrong, the module must hear of it, or it would never ask again
             known = isinstance(e, (OSError, HttpError, ListError, orjson.JSONDecodeError))
-            log.log(logging.WARNING if known else logging.ERROR, "discovery: %s", repr(e)[:200])
+            log.log(
+                logging.WARNING if known else logging.ERROR,
+                "discovery, after %.3f s: %s",
+                time.monotonic() - began,
+                repr(e)[:200],
+            )
         finally:
             self.watch = None
         self.failed()
--- a/brackenwalk/net/host.py
+++ b/brackenwalk/net/host.py
@@ -176,10 +176,10 @@
         """The deadline: attempts still out time out, and an ended request is forgotten."""
         taken = self.requests[name]
         taken.overdue = True
-        for attempt in list(taken.attempts.values()):
-            self._time_out(taken, attempt)
         if taken.closed:
             del self.requests[name]
+        for attempt in list(taken.attempts.values()):  # the module may answer, and so end it, on the way
+            self._time_out(taken, attempt)
 
     def _close(self, name: str, answer: bytes) -> None:
         """Give a request its one answer."""
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -35,13 +35,16 @@
 
 
 def run(scenario: Callable[[], Awaitable[None]]) -> None:
-    """Play a test to its end, or fail it when it waits for what never comes."""
+    """Play a test to its end; it fails when it waits for what never comes, or a callback raises."""
+    faults: list[dict[str, Any]] = []
 
     async def bounded() -> None:
+        asyncio.get_running_loop().set_exception_handler(lambda _, fault: faults.append(fault))
         async with asyncio.timeout(PATIENCE):
             await scenario()
 
     asyncio.run(bounded())
+    assert not faults
 
 
 def spelled(address: tuple[str, int]) -> str:
