Find a silent discovery within 6 s; bound d; name an address that can't be bound

Cause: read off the code: a watch of 10 s found out about a silent discovery after 12 s, while PROTOCOL counts its news as told 2 s after the wait; a huge d kept an answered request in host.requests for as long; a taken address ended the start with a traceback. Ruled out: discovery's load.

--- a/brackenwalk/__main__.py
+++ b/brackenwalk/__main__.py
@@ -76,6 +76,14 @@
     return Config(listen, read_address(table, "discovery"), seed_number, sockets, index, known, settings)
 
 
+def read_file(path: str) -> bytes:
+    """The configuration's text."""
+    try:
+        return Path(path).read_bytes()
+    except OSError as e:
+        raise ConfigError(f"RELAY_CONFIG: {e}") from e
+
+
 async def serve(config: Config) -> None:
     """Serve until SIGTERM, and then what was taken."""
     settings = config.settings
@@ -88,16 +96,18 @@
         discovery.subscribe()
 
     host = Host(settings, config.seed, servers, origin, subscribe)
-    discovery = Discovery(
-        config.discovery, config.known_index, settings.must_ask_in, host.list_told, host.list_failed
-    )
+    discovery = Discovery(config.discovery, config.known_index, host.list_told, host.list_failed)
     host.list_told(api.ListKind.SAVED, config.known)
     if not settings.subscribe:
         discovery.subscribe()  # the module does not ask for what is pushed; it comes by the same calls
     listener = Listener(host, room // 2)
     terminated = asyncio.Event()
-    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, terminated.set)
-    listener.start(config.listen)
+    for each in (signal.SIGTERM, signal.SIGINT):
+        asyncio.get_running_loop().add_signal_handler(each, terminated.set)
+    try:
+        listener.start(config.listen)
+    except OSError as e:
+        raise ConfigError(f"listen: {e}") from e
     await terminated.wait()
     logging.info("ending: no new connections in %g s", STILL_COMING)
     await listener.stop(STILL_COMING, LONGEST_END)
@@ -111,14 +121,10 @@
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
     path = os.environ.get("RELAY_CONFIG", "")
     try:
-        config = read_config(Path(path).read_bytes())
-    except OSError as e:
-        print(f"brackenwalk: RELAY_CONFIG: {e}", file=sys.stderr)
-        return 2
+        asyncio.run(serve(read_config(read_file(path))))
     except ConfigError as e:
         print(f"brackenwalk: {e}", file=sys.stderr)
         return 2
-    asyncio.run(serve(config))
     return 0
 
 
--- a/brackenwalk/interface.py
+++ b/brackenwalk/interface.py
@@ -99,7 +99,6 @@
     connection_idle: float = 60.0  # after this a host closes an idle connection by itself
     dial_timeout: float = 0.25  # a connection that is not up by then has failed
     max_retry_after: float = 0.0  # longest time to come back that clients honour
-    must_ask_in: float = 10.0  # a list not asked for this long counts as told
     connection_price: float = 0.0  # of 100 open connections at every server
     handshake_price: float = 0.0  # of a new connection for every request
     cold_share: float = 0.3
--- a/brackenwalk/net/command.py
+++ b/brackenwalk/net/command.py
@@ -8,6 +8,7 @@
 MAX_VALUE = 64 * 1024
 MAX_KEY = 1024
 MAX_INFO = 1024
+MAX_DEADLINE_MS = 600_000
 VISIBLE = re.compile(rb"[!-~]+")
 # the origin's own paths, and those that a path's readers resolve away: as keys they would be other requests
 RESERVED_KEYS = (b".", b"..", b"stats", b"health/live")
@@ -68,8 +69,9 @@
         raise CommandError("request id must be visible ASCII, 64 bytes at most")
     info = read_info(parts[3])
     deadline = info.get("d", "")
-    if not deadline.isdigit() or len(deadline) > 9:
-        raise CommandError("d must be a whole number of milliseconds")
+    # bounds how long a request is remembered: without it memory would fill with requests long answered
+    if not deadline.isdigit() or len(deadline) > 9 or int(deadline) > MAX_DEADLINE_MS:
+        raise CommandError("d must be a whole number of milliseconds, 600000 at most")
     value = parts[4] if verb == b"C.SET" else None
     if value is not None and len(value) > MAX_VALUE:
         raise CommandError("value is longer than 65536 bytes")
--- a/brackenwalk/net/discovery.py
+++ b/brackenwalk/net/discovery.py
@@ -17,7 +17,8 @@
 
 STATES = {"in_service": api.State.READY, "terminating": api.State.DRAINING, "terminated": api.State.GONE}
 MAX_LIST = 4 * 1024 * 1024
-ANSWER_MARGIN = 2.0  # for which discovery may keep a call waiting past `wait_ms`
+WATCH_WAIT = 4.0  # with the margin, 6 s: by then news that did not arrive counts as told
+ANSWER_MARGIN = 2.0  # for which discovery may keep a call waiting in turn before that
 # after an answer with no news, so that an agent that never waits is not asked in a spin; a call more than
 # 200 ms after the last answer would be a new watch, in turn with all others
 EMPTY_PAUSE = 0.05
@@ -77,13 +78,11 @@
         self,
         address: str,
         index: int,
-        wait: float,
         told: Callable[[api.ListKind, list[Member]], None],
         failed: Callable[[], None],
     ) -> None:
         self.address = address
         self.index = index
-        self.wait = wait
         self.told = told
         self.failed = failed
         self.watch: asyncio.Task[None] | None = None
@@ -104,23 +103,19 @@
         except Exception as e:
             # guards the list: whatever went wrong, the module must hear of it, or it would never ask again
             known = isinstance(e, (OSError, HttpError, ListError, orjson.JSONDecodeError))
-            log.log(
-                logging.WARNING if known else logging.ERROR,
-                "discovery, after %.3f s: %s",
-                time.monotonic() - began,
-                repr(e)[:200],
-            )
+            level, waited = logging.WARNING if known else logging.ERROR, time.monotonic() - began
+            log.log(level, "discovery, after %.3f s: %s", waited, repr(e)[:200])
         finally:
             self.watch = None
         self.failed()
 
     async def _call(self) -> tuple[int, bool, list[Member]]:
         # guards against a discovery that has gone silent: what it has to tell counts as told soon after
-        async with asyncio.timeout(self.wait + ANSWER_MARGIN):
+        async with asyncio.timeout(WATCH_WAIT + ANSWER_MARGIN):
             reader, writer = await asyncio.open_connection(*address_of(self.address))
             try:
                 client = HttpClient(self.address, MAX_LIST)
-                target = f"/registry/instances?after={self.index}&wait_ms={int(self.wait * 1000)}"
+                target = f"/registry/instances?after={self.index}&wait_ms={int(WATCH_WAIT * 1000)}"
                 writer.write(client.request("GET", target, [(b"Connection", b"close")]))
                 response = None
                 while response is None:
--- a/brackenwalk/settings.py
+++ b/brackenwalk/settings.py
@@ -91,7 +91,6 @@
         connection_idle=number(limits, "connIdle", 60.0, "limits."),
         dial_timeout=number(limits, "dialTimeout", 0.25, "limits."),
         max_retry_after=number(limits, "maxRetryAfter", 0.0, "limits."),
-        must_ask_in=number(rules, "mustAskIn", 10.0, "rules."),
         connection_price=number(prices, "connection", 0.0, "penalties."),
         handshake_price=number(prices, "handshake", 0.0, "penalties."),
         cold_share=number(rules, "coldFrom", 0.3, "rules."),
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -82,6 +82,17 @@
     assert len(capsys.readouterr().err.splitlines()) == 1
 
 
+def test_an_address_in_use_ends_the_start_in_one_line(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch, capsys: pytest.CaptureFixture[str]
+) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as taken:
+        path = tmp_path / "config.json"
+        path.write_bytes(orjson.dumps({**GOOD, "listen": spelled(taken.getsockname())}))
+        monkeypatch.setenv("RELAY_CONFIG", str(path))
+        assert program.main() == 2
+    assert capsys.readouterr().err.splitlines()[-1].startswith("brackenwalk: listen: ")
+
+
 async def first_pong(address: tuple[str, int]) -> Link:
     """Connect as soon as the program listens."""
     while True:
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -33,12 +33,11 @@
 class Told:
     """What a watch tells its router, in order; a failure is None."""
 
-    def __init__(self, peer: Peer, wait: float = 5.0) -> None:
+    def __init__(self, peer: Peer) -> None:
         self.news: asyncio.Queue[tuple[api.ListKind, list[Member]] | None] = asyncio.Queue()
         self.watch = Discovery(
             peer.address,
             41,
-            wait,
             lambda kind, members: self.news.put_nowait((kind, members)),
             lambda: self.news.put_nowait(None),
         )
@@ -81,7 +80,7 @@
         async with Peer() as peer:
             told = Told(peer)
             first, link = await call(peer)
-            assert first == "GET /registry/instances?after=41&wait_ms=5000 HTTP/1.1"
+            assert first == "GET /registry/instances?after=41&wait_ms=4000 HTTP/1.1"
             link.write(http("200 OK", message(43, False, {**LINE, "status": "terminating"})))
             kind, (member,) = await told.news.get() or pytest.fail()
             assert kind is api.ListKind.DELTA and member.entry.state is api.State.DRAINING
@@ -152,9 +151,10 @@
     """What it has to tell counts as told: a router that waits on sends to servers it should have left."""
 
     async def scenario() -> None:
+        monkeypatch.setattr(discoveries, "WATCH_WAIT", 0.05)
         monkeypatch.setattr(discoveries, "ANSWER_MARGIN", 0.05)
         async with Peer() as peer:
-            told = Told(peer, wait=0.05)
+            told = Told(peer)
             _, link = await call(peer)
             assert await told.news.get() is None
             assert await link.ended()
--- a/tests/test_net_host.py
+++ b/tests/test_net_host.py
@@ -163,6 +163,8 @@
     (command("C.GET", "k", "r1", "c=read"), "d must"),
     (command("C.GET", "k", "r1", "c=read,d=soon"), "d must"),
     (command("C.GET", "k", "r1", "c=read,d=-5"), "d must"),
+    (command("C.GET", "k", "r1", "c=read,d=600001"), "d must"),
+    (command("C.GET", "k", "r1", "c=read,d=" + "9" * 600), "d must"),
     (command("C.GET", "k", "r1", "c=read,d=9,d=900"), "not a new name"),
     (command("C.GET", "k", "r1", "c=read,d"), "not a new name"),
     (command("C.GET", "k", "r1", "c=read,d=900\r\nX: y"), "visible ASCII"),
