Take nothing from a closing client connection; don't say a client's bytes back

Cause: read off clients._take_commands: after a failed write it went on with commands already read, whose client could no longer be reported gone, so they were worked on until their deadlines; and an unknown command's name went into -ERR as it came, line breaks and all. Tests that failed without both are added.

--- a/brackenwalk/net/clients.py
+++ b/brackenwalk/net/clients.py
@@ -61,7 +61,8 @@
             self.transport.abort()
 
     def _take_commands(self) -> None:
-        while not self.ending and self.writable and len(self.slots) < MAX_PIPELINED:
+        # a closing connection takes nothing more: nobody would hear that its client is gone
+        while self._wanted() and not self.transport.is_closing():
             try:
                 parts = self.reader.gets()
             except (hiredis.ProtocolError, MemoryError) as e:
@@ -110,9 +111,12 @@
         self.slots.append(slot)
         self._answer(slot, error.encode("ascii", "replace").replace(b"\r\n", b" ") + b"\r\n")
 
+    def _wanted(self) -> bool:
+        return not self.ending and self.writable and len(self.slots) < MAX_PIPELINED
+
     def _read_or_not(self) -> None:
         """Bounds what a client can make the router hold: no reading while too much is unanswered."""
-        wanted = not self.ending and self.writable and len(self.slots) < MAX_PIPELINED
+        wanted = self._wanted()
         if wanted != self.reading and not self.transport.is_closing():
             self.reading = wanted
             (self.transport.resume_reading if wanted else self.transport.pause_reading)()
@@ -161,7 +165,6 @@
         while True:
             try:
                 client, _ = await loop.sock_accept(self.socket)
-                client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 connection = ClientConnection(self.host, self)
                 await loop.connect_accepted_socket(lambda c=connection: c, client)  # type: ignore[misc]
             except OSError as e:
--- a/brackenwalk/net/command.py
+++ b/brackenwalk/net/command.py
@@ -59,7 +59,7 @@
         raise CommandError("a command is an array of bulk strings")
     verb = parts[0].upper()
     if verb not in (b"C.GET", b"C.SET"):
-        raise CommandError(f"unknown command '{parts[0][:20].decode('ascii', 'replace')}'")
+        raise CommandError(f"unknown command {parts[0][:20]!r}")
     if len(parts) != (4 if verb == b"C.GET" else 5):
         raise CommandError(f"wrong number of arguments for {verb.decode()}")
     key, request = parts[1], parts[2]
--- a/brackenwalk/net/pool.py
+++ b/brackenwalk/net/pool.py
@@ -52,6 +52,8 @@
 
     def abandon(self) -> None:
         """Stop waiting. Closing tells the server to stop work, and an answer can't meet a later request."""
+        if not self.open:
+            return
         self.open = False
         if self.dial is not None:
             self.dial.cancel()
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -189,3 +189,11 @@
         for other in others:
             other.cancel()
         return done.pop().result()
+
+    async def begun(self, request: str = "r1", info: str = "c=read,t=x,d=2000") -> tuple[Link, Link]:
+        """A client's read that a cache has in hand: the ends of both."""
+        client = await self.client()
+        client.write(read(request, info=info))
+        cache = await self.cache()
+        assert (await cache.resp())[2] == request.encode()
+        return client, cache
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -106,7 +106,8 @@
         return client
 
 
-def test_the_program_serves_and_ends_on_sigterm_when_nothing_is_owed(tmp_path: Path) -> None:
+@pytest.mark.parametrize("mode", ["subscribe", "automatic"])
+def test_the_program_serves_and_ends_on_sigterm_when_nothing_is_owed(mode: str, tmp_path: Path) -> None:
     """Ended too early it loses what it has taken; too late it is killed with what it holds."""
 
     async def scenario() -> None:
@@ -116,7 +117,14 @@
         async with Peer() as cache, Peer() as discovery:
             line = {**LINE, "address": cache.address, "type": "std", "since_ms": 0}
             known = {"index": 1, "snapshot": True, "endpoints": [line]}
-            config = {**GOOD, "listen": spelled(address), "discovery": discovery.address, "known": known}
+            settings = {**CONF, "membershipMode": mode}
+            config = {
+                **GOOD,
+                "settings": settings,
+                "listen": spelled(address),
+                "discovery": discovery.address,
+            }
+            config["known"] = known
             path = tmp_path / "config.json"
             path.write_bytes(orjson.dumps(config))
             process = await asyncio.create_subprocess_exec(
--- a/tests/test_net_host.py
+++ b/tests/test_net_host.py
@@ -38,10 +38,7 @@
 def test_a_miss_is_fetched_from_the_origin() -> None:
     async def scenario() -> None:
         async with Router() as router:
-            client = await router.client()
-            client.write(read("r1"))
-            cache = await router.cache()
-            await cache.resp()
+            client, cache = await router.begun()
             cache.write(MISS)
             origin = await router.origin.link()
             first, headers, _ = await origin.http()
@@ -91,10 +88,7 @@
 def test_a_busy_server_is_left_for_another() -> None:
     async def scenario() -> None:
         async with Router() as router:
-            client = await router.client()
-            client.write(read("r1"))
-            first = await router.cache()
-            await first.resp()
+            client, first = await router.begun()
             first.reset()
             second = await router.cache()
             assert (await second.resp())[2] == b"r1"
@@ -109,10 +103,7 @@
 
     async def scenario() -> None:
         async with Router() as router:
-            client = await router.client()
-            client.write(read("r1"))
-            cache = await router.cache()
-            await cache.resp()
+            client, cache = await router.begun()
             client.close()
             assert await cache.ended()
             assert not router.host.router.held and not router.host.router.attempts
@@ -125,12 +116,9 @@
 
     async def scenario() -> None:
         async with Router() as router:
-            client = await router.client()
             loop = asyncio.get_running_loop()
             sent = loop.time()
-            client.write(read("r1", info="c=read,t=x,d=150"))
-            cache = await router.cache()
-            await cache.resp()
+            client, cache = await router.begun(info="c=read,t=x,d=150")
             assert error(await client.resp()).startswith("BUSY")
             assert loop.time() - sent >= 0.15 - hosts.DEADLINE_MARGIN - 0.001
             assert await cache.ended() and not router.host.requests
@@ -152,6 +140,7 @@
 BAD_COMMANDS = [
     (command("GET", "k"), "unknown command"),
     (command("CLIENT", "LIST"), "unknown command"),
+    (command("A\r\n+PONG"), "unknown command"),  # said back as it came, it would be a second answer
     (command("C.GET", "k", "r1"), "wrong number"),
     (command("C.SET", "k", "r1", "c=book,d=900"), "wrong number"),
     (command("C.GET", "", "r1", "c=read,d=900"), "key"),
@@ -248,13 +237,32 @@
     run(scenario)
 
 
+def test_nothing_is_taken_from_a_connection_that_is_closing() -> None:
+    """Its client is gone, and what is taken after that would be worked on to its deadline for nobody."""
+
+    async def scenario() -> None:
+        async with Router() as router:
+            client = await router.client()
+            client.write(b"".join(read(f"r{n}") for n in range(2 * MAX_PIPELINED)))
+            while len(router.host.requests) < MAX_PIPELINED:
+                await asyncio.sleep(0)
+            (connection,) = router.listener.connections
+            connection.transport.abort()
+            router.host._close("r0", b"-ERR failed\r\n")
+            while router.listener.connections:
+                await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            assert len(router.host.requests) == MAX_PIPELINED
+            assert all(r.closed for r in router.host.requests.values())
+
+    run(scenario)
+
+
 def test_an_id_in_use_is_not_taken_again() -> None:
     async def scenario() -> None:
         async with Router() as router:
-            client, other = await router.client(), await router.client()
-            client.write(read("r1"))
-            cache = await router.cache()
-            await cache.resp()
+            other = await router.client()
+            client, cache = await router.begun()
             other.write(read("r1"))
             assert "in use" in error(await other.resp())
             cache.write(HIT)
@@ -281,10 +289,8 @@
 
     async def scenario() -> None:
         async with Router() as router:
-            first, other = await router.client(), await router.client()
-            first.write(read("r1"))
-            cache = await router.cache()
-            await cache.resp()
+            other = await router.client()
+            first, cache = await router.begun()
             with monkeypatch.context() as patch:
                 patch.setattr(router.host, "take", None)
                 first.write(read("r2"))
@@ -301,10 +307,8 @@
 
     async def scenario() -> None:
         async with Router(clients=2) as router:
-            idle, busy = await router.client(), await router.client()
-            busy.write(read("r1"))
-            cache = await router.cache()
-            await cache.resp()
+            idle = await router.client()
+            busy, cache = await router.begun()
             third = await router.client()
             assert await idle.ended()
             third.write(command("PING"))
@@ -320,10 +324,8 @@
 
     async def scenario() -> None:
         async with Router() as router:
-            idle, busy = await router.client(), await router.client()
-            busy.write(read("r1"))
-            cache = await router.cache()
-            await cache.resp()
+            idle = await router.client()
+            busy, cache = await router.begun()
             stop = asyncio.create_task(router.listener.stop(0.05, 5.0))
             late = await router.client()  # connections still come
             late.write(command("PING"))
--- a/tests/test_net_pool.py
+++ b/tests/test_net_pool.py
@@ -27,6 +27,13 @@
         self.pool = pool
         self.results: asyncio.Queue[tuple[Status, bytes]] = asyncio.Queue()
 
+    async def begun(self, peer: Peer) -> Link:
+        """An attempt that the peer has in hand."""
+        self.start(peer.address)
+        link = await peer.link()
+        assert (await link.resp())[2] == b"r1"
+        return link
+
     def start(self, address: str, command: Command = GET) -> Exchange:
         return self.pool.start(address, command, 0.5, lambda s, v: self.results.put_nowait((s, v)))
 
@@ -74,9 +81,7 @@
     async def scenario() -> None:
         async with Peer() as peer:
             ends = caches()
-            ends.start(peer.address)
-            link = await peer.link()
-            await link.resp()
+            link = await ends.begun(peer)
             link.write(answer)
             assert await ends.end() == (Status.ERROR, b"")
             assert await link.ended() and not ends.pool.connections
@@ -90,9 +95,7 @@
     async def scenario() -> None:
         async with Peer() as peer:
             ends = caches()
-            ends.start(peer.address)
-            link = await peer.link()
-            await link.resp()
+            link = await ends.begun(peer)
             link.write(HIT + HIT)
             assert await ends.end() == (Status.OK, b"value")
             assert await link.ended() and not ends.pool.idle
@@ -105,9 +108,7 @@
     async def scenario() -> None:
         async with Peer() as peer:
             ends = caches()
-            ends.start(peer.address)
-            link = await peer.link()
-            await link.resp()
+            link = await ends.begun(peer)
             getattr(link, how)()
             assert await ends.end() == (Status.RESET, b"")
 
@@ -200,9 +201,7 @@
     async def scenario() -> None:
         async with Peer() as peer:
             ends = caches(idle=pools.IDLE_MARGIN + 0.01)
-            ends.start(peer.address)
-            link = await peer.link()
-            await link.resp()
+            link = await ends.begun(peer)
             link.write(HIT)
             assert await ends.end() == (Status.OK, b"value")
             assert await link.ended() and not ends.pool.connections
