Test the listener's limits and the end with half a command

Cause: going through the mends one by one, the suite still passed with 'c is not newest' taken out of clients._make_room; each of nine others taken out made a test fail.

--- a/tests/test_net_host.py
+++ b/tests/test_net_host.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import errno
+import socket
 from dataclasses import replace
 
 import pytest
@@ -319,6 +321,64 @@
     run(scenario)
 
 
+def test_a_new_client_waits_while_all_others_are_busy() -> None:
+    """Closed for its own sake, it would take its first request along."""
+
+    async def scenario() -> None:
+        async with Router(clients=1) as router:
+            busy, cache = await router.begun()
+            newest = await router.client()
+            newest.write(command("PING"))
+            assert await newest.resp() == b"PONG"
+            cache.write(HIT)
+            assert await busy.resp() == b"value"
+            assert await busy.ended()
+            newest.write(command("PING"))
+            assert await newest.resp() == b"PONG"
+
+    run(scenario)
+
+
+def test_a_failed_accept_is_tried_again_without_a_spin(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Out of descriptors, a loop that ended would leave the router deaf, and one that spun would stop it."""
+
+    async def scenario() -> None:
+        async with Router() as router:
+            loop = asyncio.get_running_loop()
+            accept, calls = loop.sock_accept, 0
+
+            async def failing(listener: socket.socket) -> tuple[socket.socket, object]:
+                nonlocal calls
+                calls += 1
+                if calls == 1:
+                    raise OSError(errno.EMFILE, "too many open files")
+                return await accept(listener)
+
+            monkeypatch.setattr(loop, "sock_accept", failing)
+            for _ in range(2):
+                client = await router.client()
+                client.write(command("PING"))
+                assert await client.resp() == b"PONG"
+            assert calls <= 4  # the failed one, one for each client, and the one that waits
+
+    run(scenario)
+
+
+def test_half_a_command_does_not_hold_up_the_end() -> None:
+    """The router would be killed while it waits for a client that never goes on."""
+
+    async def scenario() -> None:
+        async with Router() as router:
+            client = await router.client()
+            client.write(command("PING") + b"*4\r\n$5\r\nC.G")
+            assert await client.resp() == b"PONG"
+            await router.listener.stop(0.0, 0.05)
+            (connection,) = router.listener.connections
+            connection.transport.abort()
+
+    run(scenario)
+
+
 def test_stopping_serves_what_was_taken() -> None:
     """What a router had taken and not answered when it ended is lost."""
 
