Log where the router listens; its test takes the port from there

Cause: the test of the program chose a free port and freed it again before the program bound it, so another process could take it in between.

--- a/brackenwalk/__main__.py
+++ b/brackenwalk/__main__.py
@@ -108,6 +108,7 @@
         listener.start(config.listen)
     except OSError as e:
         raise ConfigError(f"listen: {e}") from e
+    logging.info("listening on %s:%d", *listener.socket.getsockname())
     await terminated.wait()
     logging.info("ending: no new connections in %g s", STILL_COMING)
     await listener.stop(STILL_COMING, LONGEST_END)
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import re
 import signal
 import socket
 import sys
@@ -14,6 +15,7 @@
 import pytest
 
 from brackenwalk import __main__ as program
+from brackenwalk.net.pool import address_of
 from tests.loopback import HIT, PATIENCE, Link, Peer, command, http, read, run, spelled
 from tests.test_net_discovery import LINE, message
 from tests.test_wirehost import CONF
@@ -93,17 +95,20 @@
     assert capsys.readouterr().err.splitlines()[-1].startswith("brackenwalk: listen: ")
 
 
-async def first_pong(address: tuple[str, int]) -> Link:
-    """Connect as soon as the program listens."""
-    while True:
-        try:
-            client = Link(*await asyncio.open_connection(*address))
-        except ConnectionRefusedError:
-            await asyncio.sleep(0.01)
-            continue
-        client.write(command("PING"))
-        assert await client.resp() == b"PONG"
-        return client
+async def ready(address: tuple[str, int]) -> Link:
+    """A client's connection that has been answered."""
+    client = Link(*await asyncio.open_connection(*address))
+    client.write(command("PING"))
+    assert await client.resp() == b"PONG"
+    return client
+
+
+async def listening(log: asyncio.StreamReader | None) -> tuple[str, int]:
+    """Where the program says that it listens."""
+    assert log is not None
+    while (found := re.search(rb"listening on ([0-9.]+:\d+)", await log.readline())) is None:
+        assert not log.at_eof()
+    return address_of(found[1].decode())
 
 
 @pytest.mark.parametrize("mode", ["subscribe", "automatic"])
@@ -111,35 +116,32 @@
     """Ended too early it loses what it has taken; too late it is killed with what it holds."""
 
     async def scenario() -> None:
-        with socket.socket() as free:
-            free.bind(("127.0.0.1", 0))
-            address = free.getsockname()
         async with Peer() as cache, Peer() as discovery:
             line = {**LINE, "address": cache.address, "type": "std", "since_ms": 0}
             known = {"index": 1, "snapshot": True, "endpoints": [line]}
             settings = {**CONF, "membershipMode": mode}
-            config = {
-                **GOOD,
-                "settings": settings,
-                "listen": spelled(address),
-                "discovery": discovery.address,
-            }
+            config = {**GOOD, "settings": settings, "listen": "127.0.0.1:0", "discovery": discovery.address}
             config["known"] = known
             path = tmp_path / "config.json"
             path.write_bytes(orjson.dumps(config))
             process = await asyncio.create_subprocess_exec(
-                sys.executable, "-m", "brackenwalk", env={**os.environ, "RELAY_CONFIG": str(path)}
+                sys.executable,
+                "-m",
+                "brackenwalk",
+                env={**os.environ, "RELAY_CONFIG": str(path)},
+                stderr=asyncio.subprocess.PIPE,
             )
             try:
                 watch = await discovery.link()
                 assert "after=1&" in (await watch.http())[0]
                 watch.write(http("200 OK", message(2, False)))
-                client = await first_pong(address)
+                address = await listening(process.stderr)
+                client = await ready(address)
                 client.write(read("r1"))
                 served = await cache.link()
                 await served.resp()
                 process.send_signal(signal.SIGTERM)
-                late = await first_pong(address)
+                late = await ready(address)
                 assert await late.ended()
                 served.write(HIT)
                 assert await client.resp() == b"value"
