Bear bad clients, read RESP strictly, take SIGHUP

Nothing ended silent connections or half commands (clients.py: idle() was false for half a command, nothing watched the rest), so they filled the budget and _make_room stopped accepting. CPU and descriptors were checked and had room (18 of 80 MB, 234 of 384). Now a connection that owes a command is ended with an error after 2 s and makes room before idle ones of usual clients; those idle for 2 s go once half the room is taken. Errors slow their connection down; nothing is read behind lost framing; an unknown class, or a keyed one without its key, is an error; requests are forgotten as soon as they have ended. Cause, framing: probed, hiredis takes $1 abc for one byte and drops the next two as CRLF, makes * into a list, and refuses a string only once it has come. net/resp.py refuses at the header. Cause, SIGHUP: no handler. It re-reads the file, moves the watch and asks the new discovery for the whole list; the module forgets the pauses that the old one earned.

--- a/brackenwalk/__main__.py
+++ b/brackenwalk/__main__.py
@@ -84,7 +84,7 @@
         raise ConfigError(f"RELAY_CONFIG: {e}") from e
 
 
-async def serve(config: Config) -> None:
+async def serve(config: Config, path: str) -> None:
     """Serve until SIGTERM, and then what was taken."""
     settings = config.settings
     room = config.sockets - RESERVE
@@ -101,9 +101,28 @@
     if not settings.subscribe:
         discovery.subscribe()  # the module does not ask for what is pushed; it comes by the same calls
     listener = Listener(host, room // 2)
+
+    def reload() -> None:
+        """Take a new address of discovery; nothing else of a configuration changes while a router runs."""
+        try:
+            address = read_config(read_file(path)).discovery
+        except ConfigError as e:
+            # guards the running router: a file half written or wrong must not cost what it serves
+            logging.error("configuration not taken, the old one stays: %s", e)
+            return
+        if address == discovery.address:
+            return
+        logging.info("discovery is now %s", address)
+        discovery.move(address)
+        host.list_moved()
+        if not settings.subscribe:
+            discovery.subscribe()
+
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGHUP, reload)
     terminated = asyncio.Event()
     for each in (signal.SIGTERM, signal.SIGINT):
-        asyncio.get_running_loop().add_signal_handler(each, terminated.set)
+        loop.add_signal_handler(each, terminated.set)
     try:
         listener.start(config.listen)
     except OSError as e:
@@ -122,7 +141,7 @@
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
     path = os.environ.get("RELAY_CONFIG", "")
     try:
-        asyncio.run(serve(read_config(read_file(path))))
+        asyncio.run(serve(read_config(read_file(path)), path))
     except ConfigError as e:
         print(f"brackenwalk: {e}", file=sys.stderr)
         return 2
--- a/brackenwalk/interface.py
+++ b/brackenwalk/interface.py
@@ -133,6 +133,11 @@
     entries: tuple[ServerEntry, ...] = ()
 
 
+@dataclass(slots=True, frozen=True)
+class ListMoved:
+    """The list is told by another discovery from now on; the watch on the one before has ended."""
+
+
 @dataclass(slots=True, frozen=True)
 class Request:
     """A client's request; it is owed exactly one final answer within `time_left`."""
@@ -178,7 +183,7 @@
     token: str
 
 
-Event = ServerList | Request | Streaming | Outcome | ClientGone | TimerFired
+Event = ServerList | ListMoved | Request | Streaming | Outcome | ClientGone | TimerFired
 
 
 @dataclass(slots=True, frozen=True)
--- a/brackenwalk/net/clients.py
+++ b/brackenwalk/net/clients.py
@@ -10,17 +10,23 @@
 from dataclasses import dataclass
 from functools import partial
 
-import hiredis
-
 from brackenwalk.net.command import MAX_INFO, MAX_KEY, MAX_VALUE, CommandError, read_command
 from brackenwalk.net.host import Host
 from brackenwalk.net.pool import readable
+from brackenwalk.net.resp import NOT_YET, Message, Reader, RespError
 
 MAX_COMMAND = MAX_VALUE + MAX_KEY + MAX_INFO + 4096  # bytes held for a command that is not whole
+MAX_PARTS = 16
 MAX_PIPELINED = 32  # commands of one connection that wait for their answers
+READ_SIZE = 64 * 1024
 BACKLOG = 512
 ACCEPT_PAUSE = 0.1  # after a failed accept, so that running out of descriptors does not spin
-NOT_YET = object()
+COMMAND_TIME = 2.0  # seconds for a whole command to come; a client is owed a word within 3 s
+IDLE_TIME = 2.0  # seconds after which an idle connection may be closed
+GRACE = 0.1  # seconds that a new client has to send its first command, however crowded it is
+SWEEP = 0.25  # seconds between looks for connections that are overdue
+LINGER = 0.5  # seconds for a closing connection to take its last answer
+ERROR_PAUSE = 0.1  # seconds for which a connection is not read after an error
 log = logging.getLogger(__name__)
 
 
@@ -32,28 +38,33 @@
     answer: bytes | None = None
 
 
-class ClientConnection(asyncio.Protocol):
+class ClientConnection(asyncio.BufferedProtocol):
     """One client's connection."""
 
     def __init__(self, host: Host, listener: Listener) -> None:
         self.host = host
         self.listener = listener
-        self.reader = hiredis.Reader(notEnoughData=NOT_YET)
-        self.held_back = 0  # bytes since the last whole command
+        self.reader = Reader(MAX_PARTS, MAX_VALUE, MAX_COMMAND)
         self.slots: deque[Slot] = deque()
+        self.greeted = False  # whether a whole command has come
         self.reading = True
         self.writable = True
+        self.paused = False  # after an error
         self.ending = False  # no command is taken any more
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         assert isinstance(transport, asyncio.Transport)
         self.transport = transport
         self.listener.connections[self] = None
+        self.listener.note(self)
+
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return self.listener.buffer
 
-    def data_received(self, data: bytes) -> None:
-        self.held_back += len(data)
+    def buffer_updated(self, nbytes: int) -> None:
+        self.listener.idle.pop(self, None)
         try:
-            self.reader.feed(data)
+            self.reader.feed(self.listener.buffer[:nbytes])
             self._take_commands()
         except Exception:
             # guards the router: a fault here ends this connection alone, and its requests are settled
@@ -64,19 +75,18 @@
         # a closing connection takes nothing more: nobody would hear that its client is gone
         while self._wanted() and not self.transport.is_closing():
             try:
-                parts = self.reader.gets()
-            except (hiredis.ProtocolError, MemoryError) as e:
-                self._end_with(f"-ERR {e}")
+                parts = self.reader.next()
+            except RespError as e:
+                self.end_with(f"-ERR {e}")
                 return
             if parts is NOT_YET:
-                if self.held_back > MAX_COMMAND:
-                    self._end_with("-ERR command is too long")
                 break
-            self.held_back = self.reader.len() if self.reader.has_data() else 0
+            self.greeted = True
             self._take(parts)
         self._read_or_not()
+        self.listener.note(self)
 
-    def _take(self, parts: object) -> None:
+    def _take(self, parts: Message) -> None:
         slot = Slot()
         self.slots.append(slot)
         answer = partial(self._answer, slot)
@@ -85,34 +95,50 @@
             return
         try:
             command = read_command(parts)
+            slot.request = command.request.decode()
+            self.host.take(command, answer)
         except CommandError as e:
-            answer(b"-ERR %b\r\n" % str(e).encode("ascii", "replace"))
-            return
-        slot.request = command.request.decode()
-        if self.host.take(command, answer) is None:
             slot.request = None
-            answer(b"-ERR this request id is in use\r\n")
+            # guards the other clients: one that sends errors at full speed would take the core for itself
+            self.paused = True
+            asyncio.get_running_loop().call_later(ERROR_PAUSE, self._go_on)
+            answer(b"-ERR %b\r\n" % str(e).encode("ascii", "replace"))
+
+    def _go_on(self) -> None:
+        self.paused = False
+        self._take_commands()
 
     def _answer(self, slot: Slot, answer: bytes) -> None:
         slot.answer = answer
         while self.slots and self.slots[0].answer is not None:
             self.transport.write(self.slots.popleft().answer or b"")
         if not self.slots:
-            self.listener.changed.set()
+            self.listener.note(self)
         if self.ending and not self.slots:
-            self.transport.close()
-        elif not self.reading:
+            self.close()
+        elif not self.reading and not self.ending:
             asyncio.get_running_loop().call_soon(self._take_commands)
 
-    def _end_with(self, error: str) -> None:
+    def end_with(self, error: str) -> None:
         """Answer with an error and close: where the next command begins can't be told any more."""
         self.ending = True
+        # guards memory: what comes while earlier answers are owed would be kept for nobody
+        self._read_or_not()
+        self.reader.buffer.clear()
         slot = Slot()
         self.slots.append(slot)
-        self._answer(slot, error.encode("ascii", "replace").replace(b"\r\n", b" ") + b"\r\n")
+        self._answer(slot, error.encode("ascii", "replace") + b"\r\n")
+
+    def close(self) -> None:
+        """Close once what was written has gone out, or soon if it does not."""
+        self.transport.close()
+        if self.transport.get_write_buffer_size():
+            # guards the descriptors: a client that takes no answers would keep its connection for good
+            asyncio.get_running_loop().call_later(LINGER, self.transport.abort)
 
     def _wanted(self) -> bool:
-        return not self.ending and self.writable and len(self.slots) < MAX_PIPELINED
+        held_up = self.ending or self.paused or not self.writable
+        return not held_up and len(self.slots) < MAX_PIPELINED
 
     def _read_or_not(self) -> None:
         """Bounds what a client can make the router hold: no reading while too much is unanswered."""
@@ -129,9 +155,9 @@
         self.writable = True
         self._take_commands()
 
-    def idle(self) -> bool:
-        """Whether nothing is owed, begun or unread."""
-        return not self.slots and not self.held_back and not readable(self.transport)
+    def unread(self) -> bool:
+        """Whether a command may wait in the socket."""
+        return readable(self.transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.listener.forget(self)
@@ -147,10 +173,14 @@
     def __init__(self, host: Host, budget: int) -> None:
         self.host = host
         self.budget = budget
-        self.connections: dict[ClientConnection, None] = {}  # in the order they came
+        self.connections: dict[ClientConnection, None] = {}
+        # connections on which nothing is owed, each since when, longest first
+        self.awaited: dict[ClientConnection, float] = {}  # a first command, or the rest of one
+        self.idle: dict[ClientConnection, float] = {}
+        self.buffer = memoryview(bytearray(READ_SIZE))  # for all: what is read is taken out at once
         self.changed = asyncio.Event()  # a connection has ended or fallen idle
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.accepting: asyncio.Task[None] | None = None
+        self.tasks: list[asyncio.Task[None]] = []
 
     def start(self, address: tuple[str, int]) -> None:
         """Listen and accept."""
@@ -158,47 +188,83 @@
         self.socket.setblocking(False)
         self.socket.bind(address)
         self.socket.listen(BACKLOG)
-        self.accepting = asyncio.create_task(self._accept())
+        self.tasks = [asyncio.create_task(self._accept()), asyncio.create_task(self._sweep())]
 
     async def _accept(self) -> None:
         loop = asyncio.get_running_loop()
         while True:
             try:
                 client, _ = await loop.sock_accept(self.socket)
-                connection = ClientConnection(self.host, self)
-                await loop.connect_accepted_socket(lambda c=connection: c, client)  # type: ignore[misc]
+                await loop.connect_accepted_socket(lambda: ClientConnection(self.host, self), client)
             except OSError as e:
                 log.warning("accept: %s", e)
                 await asyncio.sleep(ACCEPT_PAUSE)
-            else:
-                await self._make_room(connection)
+            await self._make_room()
 
-    async def _make_room(self, newest: ClientConnection) -> None:
-        """Guards the descriptors: the newest client costs an idle one, or waits until there is one."""
+    async def _make_room(self) -> None:
+        """Guards the descriptors: a client too many costs one that owes a command, or one that is idle.
+
+        While all have requests open, further ones wait in the backlog.
+        """
         while len(self.connections) > self.budget:
             self.changed.clear()
-            idle = next((c for c in self.connections if c is not newest and c.idle()), None)
-            if idle is not None:
-                idle.transport.close()
-            await self.changed.wait()
+            now = asyncio.get_running_loop().time()
+            late = (c for c, since in self.awaited.items() if now - since > GRACE and not c.unread())
+            # usual clients' are spared while there are others that will be late in a moment
+            idle_time = IDLE_TIME if self.awaited else 0.0
+            idle = (c for c, since in self.idle.items() if now - since >= idle_time and not c.unread())
+            victim = next(late, None) or next(idle, None)
+            if victim is not None:
+                victim.transport.abort()
+            with suppress(TimeoutError):
+                async with asyncio.timeout(GRACE):
+                    await self.changed.wait()
+
+    async def _sweep(self) -> None:
+        """Guards against clients that say nothing, or half a command, and those that stay for good."""
+        while True:
+            await asyncio.sleep(SWEEP)
+            now = asyncio.get_running_loop().time()
+            for connection, since in list(self.awaited.items()):
+                if now - since < COMMAND_TIME:
+                    break
+                if not connection.transport.is_closing():
+                    connection.end_with("-ERR no whole command came")
+            for connection in list(self.idle)[: max(0, len(self.connections) - self.budget // 2)]:
+                if now - self.idle[connection] > IDLE_TIME and not connection.unread():
+                    connection.transport.abort()
+
+    def note(self, connection: ClientConnection) -> None:
+        """Keep the books on a connection that may have begun to owe a command, or fallen idle."""
+        owing = bool(connection.slots) or connection.ending or connection.paused
+        awaited = not owing and (bool(connection.reader.buffer) or not connection.greeted)
+        now = asyncio.get_running_loop().time()
+        for books, applies in ((self.awaited, awaited), (self.idle, not owing and not awaited)):
+            if not applies:
+                books.pop(connection, None)
+            elif connection not in books:
+                books[connection] = now
+                self.changed.set()
 
     def forget(self, connection: ClientConnection) -> None:
         """Note that a connection is closed."""
         self.connections.pop(connection, None)
+        self.awaited.pop(connection, None)
+        self.idle.pop(connection, None)
         self.changed.set()
 
     async def stop(self, still_coming: float, longest: float) -> None:
         """Accept for a while longer, then no more; end when nothing is owed to any client."""
         await asyncio.sleep(still_coming)
-        if self.accepting is not None:
-            self.accepting.cancel()
+        for task in self.tasks:
+            task.cancel()
         self.socket.close()
         with suppress(TimeoutError):
             async with asyncio.timeout(longest):
                 while self.connections:
                     self.changed.clear()
-                    for connection in list(self.connections):
+                    for connection in [*self.idle, *self.awaited]:
                         # closed between requests: one that has begun to come in is waited for
-                        if connection.idle():
-                            connection.transport.close()
+                        if not connection.reader.buffer and not connection.unread():
+                            connection.close()
                     await self.changed.wait()
--- a/brackenwalk/net/discovery.py
+++ b/brackenwalk/net/discovery.py
@@ -77,12 +77,12 @@
     def __init__(
         self,
         address: str,
-        index: int,
+        index: int | None,
         told: Callable[[api.ListKind, list[Member]], None],
         failed: Callable[[], None],
     ) -> None:
         self.address = address
-        self.index = index
+        self.index = index  # of the list held; None: from another discovery, or none
         self.told = told
         self.failed = failed
         self.watch: asyncio.Task[None] | None = None
@@ -92,6 +92,13 @@
         if self.watch is None:
             self.watch = asyncio.create_task(self._watch())
 
+    def move(self, address: str) -> None:
+        """End the watch; the next asks another discovery, whose index is its own, for the whole list."""
+        self.close()
+        self.address = address
+        self.index = None
+        self.watch = None
+
     async def _watch(self) -> None:
         try:
             while True:
@@ -105,8 +112,8 @@
             known = isinstance(e, (OSError, HttpError, ListError, orjson.JSONDecodeError))
             level, waited = logging.WARNING if known else logging.ERROR, time.monotonic() - began
             log.log(level, "discovery, after %.3f s: %s", waited, repr(e)[:200])
-        finally:
-            self.watch = None
+        # a watch that was cancelled ends above and tells nothing: another may have begun
+        self.watch = None
         self.failed()
 
     async def _call(self) -> tuple[int, bool, list[Member]]:
@@ -115,7 +122,9 @@
             reader, writer = await asyncio.open_connection(*address_of(self.address))
             try:
                 client = HttpClient(self.address, MAX_LIST)
-                target = f"/registry/instances?after={self.index}&wait_ms={int(WATCH_WAIT * 1000)}"
+                target = "/registry/instances"
+                if self.index is not None:
+                    target += f"?after={self.index}&wait_ms={int(WATCH_WAIT * 1000)}"
                 writer.write(client.request("GET", target, [(b"Connection", b"close")]))
                 response = None
                 while response is None:
--- a/brackenwalk/net/host.py
+++ b/brackenwalk/net/host.py
@@ -14,13 +14,14 @@
 from dataclasses import dataclass, field
 
 from brackenwalk import interface as api
-from brackenwalk.net.command import Command
+from brackenwalk.net.command import Command, CommandError
 from brackenwalk.net.pool import Exchange, Pool
 from brackenwalk.policy import Router
 
 # before the client's deadline, which counts from its send: measured, the way takes 1.3 ms at most in each
 # direction and this process 1.4 ms at the 99th percentile; the rest is for a core that others keep busy
 DEADLINE_MARGIN = 0.02
+MAX_HINT = 12  # digits
 log = logging.getLogger(__name__)
 
 
@@ -46,11 +47,12 @@
 
 @dataclass(slots=True, eq=False)
 class Taken:
-    """A request, kept until its deadline has passed and nothing of it is out."""
+    """A request, kept until nothing is owed for it and nothing of it is out."""
 
     command: Command
     deadline: float
     answer: Callable[[bytes], None]
+    expiry: asyncio.TimerHandle | None = None
     sent: int = 0  # attempts, whatever became of them
     closed: bool = False  # answered, or its client is gone
     overdue: bool = False
@@ -79,6 +81,7 @@
         self.router = Router(settings, seed, self.clock.now())
         self.members: dict[str, Member] = {}
         self.requests: dict[str, Taken] = {}
+        self.over: list[str] = []  # names of requests that may be forgotten
         self.events: deque[api.Event] = deque()
         self.handling = False
 
@@ -94,6 +97,10 @@
                     self._carry_out(action)
         finally:
             self.handling = False
+            # not before: the module may still send for a request that it has just ended, which is moot
+            for name in self.over:
+                self._forget(name)
+            self.over.clear()
 
     def _carry_out(self, action: api.Action) -> None:
         match action:
@@ -122,6 +129,10 @@
         """Whether any cache server may be sent to."""
         return any(m.entry.ready and not self._is_origin(m) for m in self.members.values())
 
+    def list_moved(self) -> None:
+        """The list is told elsewhere from now on."""
+        self.post(api.ListMoved())
+
     def list_failed(self) -> None:
         self.post(api.ServerList(api.ListKind.FAILED))
 
@@ -145,26 +156,32 @@
 
     # Requests
 
-    def take(self, command: Command, answer: Callable[[bytes], None]) -> str | None:
-        """Take a request that is owed one `answer`; None when one with its id is still known."""
+    def take(self, command: Command, answer: Callable[[bytes], None]) -> None:
+        """Take a request that is owed one `answer`, or say why it can't be taken."""
         name = command.request.decode()
         # guards the table: two requests under one id would get each other's answers
         if name in self.requests:
-            return None
+            raise CommandError("this request id is in use")
+        request_class = self.settings.classes.get(command.info.get("c", ""))
+        if request_class is None:
+            raise CommandError("class is unknown")
+        # guards against a second effect: no server could tell a repeat of it
+        if request_class.effect is api.Effect.KEYED and not command.info.get("k"):
+            raise CommandError("k is missing")
         time_left = max(0.0, command.deadline_ms / 1000 - DEADLINE_MARGIN)
-        self.requests[name] = Taken(command, self.clock.now() + time_left, answer)
-        asyncio.get_running_loop().call_later(time_left, self._overdue, name)
+        taken = self.requests[name] = Taken(command, self.clock.now() + time_left, answer)
+        taken.expiry = asyncio.get_running_loop().call_later(time_left, self._overdue, name)
         hint = command.info.get("h", "")
         request = api.Request(
             name,
-            command.info.get("c", ""),
+            request_class.name,
             time_left,
             command.key.decode("latin-1"),
-            int(hint) / 1e6 if hint.isdigit() else None,
+            # guards against a number too large for a float
+            int(hint) / 1e6 if hint.isdigit() and len(hint) <= MAX_HINT else None,
             command.write,
         )
         self.post(request)
-        return name
 
     def client_gone(self, name: str) -> None:
         """The client of a request closed its connection."""
@@ -174,11 +191,9 @@
             self.post(api.ClientGone(name))
 
     def _overdue(self, name: str) -> None:
-        """The deadline: attempts still out time out, and an ended request is forgotten."""
+        """The deadline: attempts still out time out."""
         taken = self.requests[name]
         taken.overdue = True
-        if taken.closed:
-            del self.requests[name]
         for attempt in list(taken.attempts.values()):  # the module may answer, and so end it, on the way
             self._time_out(taken, attempt)
 
@@ -190,10 +205,17 @@
             taken.answer(answer)
 
     def _settle(self, taken: Taken, name: str) -> None:
-        """Nothing is owed any more; kept until the deadline for what is still to come of it."""
+        """Nothing is owed any more; kept only for what is still out."""
         taken.closed = True
-        if taken.overdue:
+        self.over.append(name)
+
+    def _forget(self, name: str) -> None:
+        """Guards memory: a request with its value is not kept until a deadline far off."""
+        taken = self.requests.get(name)
+        if taken is not None and taken.closed and not taken.attempts:
             del self.requests[name]
+            if taken.expiry is not None:
+                taken.expiry.cancel()
 
     def _refuse(self, action: api.Refuse) -> None:
         """A refusal at once, that tells the client when to come back if the module has advice."""
@@ -250,5 +272,6 @@
         name = taken.command.request.decode()
         if status is api.Status.OK:
             self._close(name, b"$%d\r\n%b\r\n" % (len(value), value))
+        self.over.append(name)
         latency = self.clock.now() - attempt.sent_at
         self.post(api.Outcome(name, attempt.number, status, taken.closed, latency))
--- a/brackenwalk/net/servers.py
+++ b/brackenwalk/net/servers.py
@@ -2,16 +2,13 @@
 
 from __future__ import annotations
 
-from typing import Any
-
-import hiredis
-
 from brackenwalk.interface import Status
 from brackenwalk.net.command import MAX_VALUE, Command
 from brackenwalk.net.pool import Answer, Connection, MalformedAnswer, Pool
+from brackenwalk.net.resp import NOT_YET, ErrorLine, Reader, RespError, pack
 
-MAX_ANSWER = MAX_VALUE + 4096  # the value and what stands round it
-NOT_YET = object()
+MAX_ITEMS = 16  # of an answer's three and of whatever stands in a load report's place
+MAX_ANSWER = MAX_VALUE + 8192  # the value and what stands round it
 
 
 class CacheConnection(Connection):
@@ -19,36 +16,31 @@
 
     def __init__(self, pool: Pool, address: str) -> None:
         super().__init__(pool, address)
-        self.reader = hiredis.Reader(notEnoughData=NOT_YET)
-        self.received = 0
+        self.reader = Reader(MAX_ITEMS, MAX_VALUE, MAX_ANSWER)
 
     def encode(self, command: Command, time_left: float) -> bytes:
-        self.received = 0
-        parts: tuple[Any, ...] = (command.verb, command.key, command.request, command.info_for(time_left))
+        parts = [command.verb, command.key, command.request, command.info_for(time_left)]
         if command.value is not None:
-            parts += (command.value,)
-        return bytes(hiredis.pack_command(parts))
+            parts.append(command.value)
+        return pack(parts)
 
     def decode(self, data: bytes) -> Answer | None:
-        self.received += len(data)
-        if self.received > MAX_ANSWER:
-            raise MalformedAnswer("longer than any value")
+        self.reader.feed(data)
         try:
-            self.reader.feed(data)
-            reply = self.reader.gets()
-        except (hiredis.ProtocolError, MemoryError) as e:
+            reply = self.reader.next()
+        except RespError as e:
             raise MalformedAnswer(str(e)) from e
+        # nothing is asked of the third item: a report that can't be read does not spoil the value
+        match reply:
+            case ErrorLine(text):
+                return (Status.FULL if text.split(" ")[0] == "BUSY" else Status.ERROR), b""
+            case [bytes(value), bytes() | None, _]:
+                return Status.OK, value
+            case [None, bytes() | None, _]:
+                return Status.MISS, b""
         if reply is NOT_YET:
             return None
-        if isinstance(reply, hiredis.ReplyError):
-            return (Status.FULL if str(reply).split(" ")[0] == "BUSY" else Status.ERROR), b""
-        if not isinstance(reply, list) or not reply:
-            raise MalformedAnswer(repr(reply)[:80])
-        if reply[0] is None:
-            return Status.MISS, b""
-        if not isinstance(reply[0], bytes):
-            raise MalformedAnswer(repr(reply)[:80])
-        return Status.OK, reply[0]
+        raise MalformedAnswer(f"not an answer: {repr(reply)[:80]}")
 
     def reusable(self) -> bool:
-        return not self.reader.has_data()
+        return not self.reader.buffer
--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -132,6 +132,9 @@
             self._on_timer(event)
         elif isinstance(event, api.ServerList):
             self._on_list(event)
+        elif isinstance(event, api.ListMoved):
+            self.list_failures = 0  # guards against waiting out the pause that another discovery earned
+            self._subscribe()
         elif isinstance(event, api.ClientGone) and event.request in self.held:
             self._forget(self.held[event.request])
         elif isinstance(event, api.Streaming) and event.request in self.held:
@@ -158,14 +161,18 @@
         self._build_ring()
         if event.kind is not api.ListKind.SAVED:
             self.list_failures = 0
-        elif self.settings.subscribe:
-            self.out.append(api.Subscribe())
+        else:
+            self._subscribe()
         queue, self.queue = sorted(self.queue), []
         for _, _, held in queue:
             if held.waiting:
                 held.waiting = False
                 self._advance(held)
 
+    def _subscribe(self) -> None:
+        if self.settings.subscribe:
+            self.out.append(api.Subscribe())
+
     def _ask_list_later(self) -> None:
         """Subscribe again after a doubling, jittered pause, so that routers don't call in step."""
         self.list_failures += 1
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -178,3 +178,24 @@
             assert await told.news.get() is None and told.watch.watch is None
 
     run(scenario)
+
+
+def test_a_moved_watch_starts_anew_and_the_old_one_tells_nothing() -> None:
+    """Each counts by itself: asked for what is newer than another discovery's list, it may say nothing."""
+
+    async def scenario() -> None:
+        async with Peer() as old, Peer() as new:
+            told = Told(old)
+            _, link = await call(old)
+            told.watch.move(new.address)
+            assert await link.ended()
+            told.watch.subscribe()
+            first, link = await call(new)
+            assert first == "GET /registry/instances HTTP/1.1"
+            link.write(http("200 OK", message(3, True, LINE)))
+            assert (await told.news.get() or pytest.fail())[0] is api.ListKind.FULL
+            assert "after=3&" in (await call(new))[0]
+            assert told.news.empty()
+            told.watch.close()
+
+    run(scenario)
--- /dev/null
+++ b/tests/test_net_resp.py
@@ -0,0 +1,70 @@
+"""The RESP reader: whole messages however they come, and nothing held that is not wanted."""
+
+from __future__ import annotations
+
+import pytest
+
+from brackenwalk.net.resp import NOT_YET, ErrorLine, Reader, RespError, pack
+
+MESSAGES = [
+    (b"*3\r\n$5\r\nva\r\nl\r\n$3\r\nhit\r\n$-1\r\n", [b"va\r\nl", b"hit", None]),
+    (b"*3\r\n$0\r\n\r\n$-1\r\n*2\r\n:-7\r\n+x\r\n", [b"", None, [-7, "x"]]),
+    (b"-BUSY 12\r\n", ErrorLine("BUSY 12")),
+    (b"*0\r\n", []),
+    (b"*-1\r\n", None),
+]
+
+
+def reader() -> Reader:
+    return Reader(max_items=4, max_bulk=100, max_message=250)
+
+
+@pytest.mark.parametrize("step", [1, 2, 3, 1000])
+def test_messages_are_read_however_they_come(step: int) -> None:
+    stream, read = b"".join(m[0] for m in MESSAGES), []
+    got = reader()
+    for start in range(0, len(stream), step):
+        got.feed(stream[start : start + step])
+        while (message := got.next()) is not NOT_YET:
+            read.append(message)
+    assert read == [m[1] for m in MESSAGES] and not got.buffer
+
+
+def test_what_is_packed_is_read() -> None:
+    got = reader()
+    got.feed(pack([b"C.GET", b"", b"\r\n"]))
+    assert got.next() == [b"C.GET", b"", b"\r\n"]
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"$101\r\n",
+        b"$3000000000\r\n",
+        b"$99999999999\r\n",
+        b"*5\r\n",
+        b"*100000000\r\n",
+        b"*3\r\n$90\r\n" + b"x" * 90 + b"\r\n$90\r\n" + b"x" * 90 + b"\r\n$90\r\n",
+        b"$-2\r\n",
+        b"$+1\r\n",
+        b"$1_0\r\n",
+        b"$\r\n",
+        b":1.5\r\n",
+        b"$3\r\nvalu",  # longer than said
+        b"$3\r\nval\n",
+        b"$5\r\nval\r\n$-1\r\n",  # shorter than said
+        b"*1\r\n" * 6,
+        b"-" + b"x" * 1026,
+        b"$" + b"1" * 22,
+        b"+a\nb\r\n",
+        b"HTTP/1.1 200 OK\r\n",
+        b"\x00",
+        b"(12\r\n",
+    ],
+)
+def test_what_is_malformed_or_too_large_is_refused_at_once(data: bytes) -> None:
+    """Waited for, it would hold memory, or its request to the deadline."""
+    got = reader()
+    got.feed(data)
+    with pytest.raises(RespError):
+        got.next()
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -662,3 +662,14 @@
     d.router.servers["o"].latency = latency
     d.request("w1", key="k1", write=True)
     assert api.Refuse("w1", told) in d.last
+
+
+def test_another_discovery_is_asked_at_once() -> None:
+    """The pause that failures of the last one earned would let the news of the new one count as told."""
+    d = Driver(settings(subscribe=True))
+    for _ in range(4):
+        d.feed(api.ServerList(api.ListKind.FAILED))
+    assert d.feed(api.ListMoved()) == [api.Subscribe()]
+    timer, _ = d.feed(api.ServerList(api.ListKind.FAILED))
+    assert isinstance(timer, api.SetTimer) and timer.delay <= d.conf.fall_window
+    assert Driver(settings()).feed(api.ListMoved()) == []
