Keep the listener alive; give stalled answers up; use what is idle longest first

Each connection logged: all that sent something got an error or a close; silent ones did until 8 s in, none later. Ruled out: CPU (0.3 of a core), descriptors, framing. Cause, answers: a length longer than what comes left the attempt waiting for its deadline; it ends after 0.25 s. A body that only the close ends is no answer. Server-Load is taken out before the parser can refuse it. Cause, connections: those to a process that is gone, drains or restarted are closed; the one idle for longest is used first, so that what follows a good answer late meets no request; room is made of the longest idle of all servers; no descriptor for an attempt is moot, not a failed connection.

--- a/brackenwalk/net/clients.py
+++ b/brackenwalk/net/clients.py
@@ -236,6 +236,9 @@
 
     def note(self, connection: ClientConnection) -> None:
         """Keep the books on a connection that may have begun to owe a command, or fallen idle."""
+        # guards the listener: one that has ended would stay in the books, without a socket to look at
+        if connection not in self.connections:
+            return
         owing = bool(connection.slots) or connection.ending or connection.paused
         awaited = not owing and (bool(connection.reader.buffer) or not connection.greeted)
         now = asyncio.get_running_loop().time()
--- a/brackenwalk/net/host.py
+++ b/brackenwalk/net/host.py
@@ -66,6 +66,11 @@
     entry: api.ServerEntry
     address: str
 
+    @property
+    def process(self) -> tuple[str, float]:
+        """What tells it from another at the same address, and from itself before a restart."""
+        return self.entry.server, self.entry.since
+
 
 class Host:
     """One router and what it has going on."""
@@ -113,8 +118,8 @@
             case api.Cancel():
                 self._cancel(action)
             case api.Close():
-                if action.server in self.members:
-                    self._pool(action.server).close_idle(self.members[action.server].address)
+                if (member := self.members.get(action.server)) is not None:
+                    self._pool(member).close_idle(member.address)
             case api.SetTimer():
                 loop = asyncio.get_running_loop()
                 loop.call_later(action.delay, self.post, api.TimerFired(action.token))
@@ -138,21 +143,27 @@
 
     def list_told(self, kind: api.ListKind, members: list[Member]) -> None:
         """Take a list or its changes."""
-        if kind is not api.ListKind.DELTA:
-            self.members = {}
+        before = self.members
+        self.members = {} if kind is not api.ListKind.DELTA else dict(before)
         for member in members:
             name = member.entry.server
             if member.entry.state is api.State.GONE:
                 self.members.pop(name, None)
             else:
                 self.members[name] = member
+        # guards the descriptors, and the next process at an address: nothing more is sent to one that ends,
+        # and a machine that vanished never closes what was kept to it
+        for name, old in before.items():
+            new = self.members.get(name)
+            if new is None or not new.entry.ready or new.process != old.process:
+                self._pool(old).close_idle(old.address)
         self.post(api.ServerList(kind, tuple(m.entry for m in members)))
 
     def _is_origin(self, member: Member) -> bool:
         return self.settings.aside and member.entry.kind == self.settings.origin_kind
 
-    def _pool(self, server: str) -> Pool:
-        return self.origin if self._is_origin(self.members[server]) else self.servers
+    def _pool(self, member: Member) -> Pool:
+        return self.origin if self._is_origin(member) else self.servers
 
     # Requests
 
@@ -234,7 +245,8 @@
         taken.sent += 1
         taken.attempts[attempt.number] = attempt
         over = taken.closed or taken.overdue or attempt.number >= self.settings.max_attempts
-        if over or action.server not in self.members:
+        member = self.members.get(action.server)
+        if over or member is None:
             self._finish(taken, attempt, api.Status.MOOT if over else api.Status.CONNECT_FAILED)
             return
         time_left = taken.deadline - now
@@ -246,8 +258,9 @@
         def done(status: api.Status, value: bytes) -> None:
             self._finish(taken, attempt, status, value)
 
-        address = self.members[action.server].address
-        attempt.exchange = self._pool(action.server).start(address, taken.command, time_left, done)
+        attempt.exchange = self._pool(member).start(
+            member.address, taken.command, time_left, done, member.process
+        )
 
     def _cancel(self, action: api.Cancel) -> None:
         taken = self.requests.get(action.request)
--- a/brackenwalk/net/http.py
+++ b/brackenwalk/net/http.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass
 
 import h11
 
+MAX_HEAD = 16 * 1024
+REPORT = re.compile(rb"\r\nserver-load:.*?(?=\r\n)", re.IGNORECASE | re.DOTALL)
+
 
 class HttpError(Exception):
     """A response that breaks the protocol, the bound on its size, or off."""
@@ -27,6 +31,8 @@
         self.address = address
         self.max_body = max_body
         self.connection = h11.Connection(h11.CLIENT)
+        self.unread = bytearray()  # the beginning of a head
+        self.heads = True  # whether one is still to come
         self.head: h11.Response | None = None
         self.body = bytearray()
 
@@ -36,7 +42,9 @@
         """The bytes of a request."""
         if self.connection.our_state is not h11.IDLE:
             self.connection.start_next_cycle()
+        self.heads = True
         self.head = None
+        self.unread.clear()
         self.body.clear()
         fields = [(b"Host", self.address.encode()), *headers]
         if body is not None:
@@ -47,16 +55,41 @@
         events.append(h11.EndOfMessage())
         return b"".join(self.connection.send(e) or b"" for e in events)
 
+    def _cleaned(self, data: bytes) -> bytes:
+        """Heads once they are whole, without the load report, and what follows them.
+
+        Nobody asks for the report, and one that can't be read would spoil a good answer.
+        """
+        if not self.heads:
+            return data
+        self.unread += data
+        out = b""
+        while self.heads and (end := self.unread.find(b"\r\n\r\n") + 4) > 3:
+            out += REPORT.sub(b"", self.unread[:end])
+            self.heads = self.unread[9:10] == b"1"  # another follows after one like 100 Continue
+            del self.unread[:end]
+        if not self.heads:
+            out += self.unread
+        elif len(self.unread) > MAX_HEAD or not b"HTTP/".startswith(self.unread[:5]):
+            raise HttpError(f"no head: {bytes(self.unread[:40])!r}")
+        return out
+
     def receive(self, data: bytes) -> Response | None:
         """Take bytes, none at the connection's end, and answer with the response once it is whole."""
         try:
-            self.connection.receive_data(data)
+            if not data:
+                self.connection.receive_data(b"")
+            elif cleaned := self._cleaned(data):
+                self.connection.receive_data(cleaned)
             while True:
                 event = self.connection.next_event()
                 if event is h11.NEED_DATA:
                     return None
                 if isinstance(event, h11.Response):
                     self.head = event
+                    # guards memory: a body said to be too long is refused before it comes
+                    if int(dict(event.headers).get(b"content-length", b"0")) > self.max_body:
+                        raise HttpError(f"body of over {self.max_body} bytes")
                 elif isinstance(event, h11.Data):
                     self.body += event.data
                     if len(self.body) > self.max_body:
--- a/brackenwalk/net/origin.py
+++ b/brackenwalk/net/origin.py
@@ -11,7 +11,11 @@
 
 
 class OriginConnection(Connection):
-    """A connection to the origin."""
+    """A connection to the origin.
+
+    It gives the length of what it sends: a body that only the connection's end would end may be cut short,
+    and counts as broken.
+    """
 
     def __init__(self, pool: Pool, address: str) -> None:
         super().__init__(pool, address)
@@ -35,15 +39,5 @@
         not_started = response.status in (503, 504) and response.headers.get(b"not-started") == b"1"
         return (Status.FULL if not_started else Status.ERROR), b""
 
-    def eof_received(self) -> None:
-        """A body may end with its connection; one cut short is a reset, told by `connection_lost`."""
-        try:
-            answer = self.decode(b"")
-        except MalformedAnswer:
-            return
-        exchange, self.exchange = self.exchange, None
-        if answer is not None and exchange is not None:
-            exchange.finish(*answer)
-
     def reusable(self) -> bool:
         return self.client.reusable()
--- a/brackenwalk/net/pool.py
+++ b/brackenwalk/net/pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
 import select
 from abc import abstractmethod
@@ -12,6 +13,7 @@
 from brackenwalk.net.command import Command
 
 IDLE_MARGIN = 0.5  # seconds before the peer may close an idle connection at which it is no longer used
+ANSWER_TIME = 0.25  # seconds for the rest of an answer once it has begun: it is sent in one go
 log = logging.getLogger(__name__)
 
 Answer = tuple[Status, bytes]
@@ -69,7 +71,10 @@
         self.address = address
         self.exchange: Exchange | None = None
         self.written = False  # whether the request's last byte is
-        self.expiry: asyncio.TimerHandle | None = None
+        self.process: object = None  # that it was made to: another may come to its address
+        self.expiry: asyncio.TimerHandle | None = (
+            None  # of an idle connection, or of an answer that has begun
+        )
 
     @abstractmethod
     def encode(self, command: Command, time_left: float) -> bytes:
@@ -117,13 +122,16 @@
             answer = self.decode(data)
         except Exception as e:
             # guards the router: whatever a server sends costs its connection and no more
-            level = logging.WARNING if isinstance(e, MalformedAnswer) else logging.ERROR
-            log.log(level, "answer of %s: %r", self.address, e)
-            self.exchange = None
-            self.drop()
-            exchange.finish(Status.ERROR)
+            self._spoilt(exchange, e)
             return
-        if answer is not None:
+        if answer is None:
+            if self.expiry is None:
+                loop = asyncio.get_running_loop()
+                stalled = MalformedAnswer("begun and not ended")
+                # guards the request: an answer said to be longer than it is never ends
+                self.expiry = loop.call_later(ANSWER_TIME, self._spoilt, exchange, stalled)
+        else:
+            self.stop_expiry()
             self.exchange = None
             if self.written and self.reusable() and not self.transport.is_closing():
                 self.pool.keep(self)
@@ -131,6 +139,24 @@
                 self.drop()
             exchange.finish(*answer)
 
+    def _spoilt(self, exchange: Exchange, fault: Exception) -> None:
+        """An answer that can't be used: the request may have run, and what follows belongs to nobody."""
+        level = logging.WARNING if isinstance(fault, MalformedAnswer) else logging.ERROR
+        log.log(level, "answer of %s: %.200r", self.address, fault)
+        self.exchange = None
+        self.drop()
+        exchange.finish(Status.ERROR)
+
+    def stop_expiry(self) -> None:
+        if self.expiry is not None:
+            self.expiry.cancel()
+            self.expiry = None
+
+    def expire_in(self, seconds: float) -> None:
+        """Close a connection that is idle for so long."""
+        self.stop_expiry()
+        self.expiry = asyncio.get_running_loop().call_later(seconds, self.drop)
+
     def connection_lost(self, exc: Exception | None) -> None:
         self.pool.forget(self)
         exchange, self.exchange = self.exchange, None
@@ -155,46 +181,56 @@
         self.idle_time = max(0.0, idle - IDLE_MARGIN)
         self.connections: set[Connection] = set()
         self.dials: set[asyncio.Task[None]] = set()
-        self.idle: dict[str, list[Connection]] = {}
+        self.idle: dict[Connection, None] = {}  # of all addresses, longest first
+        self.idle_at: dict[str, dict[Connection, None]] = {}  # of each
 
     def start(
-        self, address: str, command: Command, time_left: float, done: Callable[[Status, bytes], None]
+        self,
+        address: str,
+        command: Command,
+        time_left: float,
+        done: Callable[[Status, bytes], None],
+        process: object = None,
     ) -> Exchange:
-        """Start an attempt."""
+        """Start an attempt on the process that is at an address now."""
         exchange = Exchange(command, time_left, done)
-        kept = self._take(address)
+        kept = self._take(address, process)
         if kept is not None:
             kept.begin(exchange)
         elif self._has_room():
-            exchange.dial = asyncio.create_task(self._dial(address, exchange))
+            exchange.dial = asyncio.create_task(self._dial(address, process, exchange))
             self.dials.add(exchange.dial)
             exchange.dial.add_done_callback(self.dials.discard)
         else:
             # guards against running out of descriptors, which would stop new clients as well
-            exchange.finish(Status.CONNECT_FAILED)
+            exchange.finish(Status.MOOT)  # not the server's fault
         return exchange
 
-    async def _dial(self, address: str, exchange: Exchange) -> None:
+    async def _dial(self, address: str, process: object, exchange: Exchange) -> None:
         try:
             async with asyncio.timeout(self.dial_timeout):
                 _, connection = await asyncio.get_running_loop().create_connection(
                     lambda: self.make(self, address), *address_of(address)
                 )
-        except OSError:  # a time-out is one
-            exchange.finish(Status.CONNECT_FAILED)
+        except OSError as e:  # a time-out is one
+            full = e.errno in (errno.EMFILE, errno.ENFILE)
+            exchange.finish(Status.MOOT if full else Status.CONNECT_FAILED)
             return
+        connection.process = process
         exchange.dial = None
         connection.begin(exchange)
 
-    def _take(self, address: str) -> Connection | None:
-        """The kept connection used last, if one still stands."""
-        idle = self.idle.get(address, [])
-        while idle:
-            connection = idle.pop()
-            if connection.expiry is not None:
-                connection.expiry.cancel()
+    def _take(self, address: str, process: object) -> Connection | None:
+        """The kept connection idle for longest, if one still stands.
+
+        Guards against what follows a good answer after a while: on the one used last it would more likely
+        come behind the next request, and be taken for its answer.
+        """
+        while (connection := next(iter(self.idle_at.get(address, ())), None)) is not None:
+            self._leave_idle(connection)
+            usable = connection.process == process and not connection.transport.is_closing()
             # guards against resets: a close that came in since the loop last looked would lose the request
-            if not connection.transport.is_closing() and not readable(connection.transport):
+            if usable and not readable(connection.transport):
                 return connection
             connection.drop()
         return None
@@ -202,32 +238,34 @@
     def _has_room(self) -> bool:
         if len(self.connections) + len(self.dials) < self.budget:
             return True
-        idle = next((i for i in self.idle.values() if i), None)
-        if idle is None:
-            return False
-        idle[0].drop()
-        return True
+        for connection in self.idle:
+            connection.drop()
+            return True
+        return False
 
     def keep(self, connection: Connection) -> None:
         """Hold a connection for the next attempt until the server would close it."""
-        loop = asyncio.get_running_loop()
-        connection.expiry = loop.call_later(self.idle_time, connection.drop)
-        self.idle.setdefault(connection.address, []).append(connection)
+        connection.expire_in(self.idle_time)
+        self.idle[connection] = None
+        self.idle_at.setdefault(connection.address, {})[connection] = None
+
+    def _leave_idle(self, connection: Connection) -> None:
+        connection.stop_expiry()
+        if connection in self.idle:
+            del self.idle[connection]
+            at = self.idle_at[connection.address]
+            del at[connection]
+            if not at:
+                del self.idle_at[connection.address]
 
     def forget(self, connection: Connection) -> None:
         """Note that a connection is closed."""
         self.connections.discard(connection)
-        if connection.expiry is not None:
-            connection.expiry.cancel()
-        idle = self.idle.get(connection.address, [])
-        if connection in idle:
-            idle.remove(connection)
-        if not idle:
-            self.idle.pop(connection.address, None)
+        self._leave_idle(connection)
 
     def close_idle(self, address: str) -> None:
         """Close the kept connections to one address."""
-        for connection in list(self.idle.get(address, ())):
+        for connection in list(self.idle_at.get(address, ())):
             connection.drop()
 
     def close(self) -> None:
--- a/tests/test_net_host.py
+++ b/tests/test_net_host.py
@@ -503,6 +503,51 @@
     run(scenario)
 
 
+@pytest.mark.parametrize("change", ["gone", "draining", "restarted", "replaced"])
+def test_connections_to_a_process_that_ends_are_closed(change: str) -> None:
+    """Those to a machine that vanished never close, and another process may come to its address."""
+
+    async def scenario() -> None:
+        async with Router() as router:
+            client, cache = await router.begun()
+            cache.write(HIT)
+            assert await client.resp() == b"value"
+            (connection,) = router.servers.idle
+            (name,) = (n for n, m in router.host.members.items() if m.address == connection.address)
+            entry = router.host.members[name].entry
+            told = {
+                "gone": replace(entry, state=api.State.GONE),
+                "draining": replace(entry, state=api.State.DRAINING),
+                "restarted": replace(entry, since=9.0),
+                "replaced": replace(entry, state=api.State.GONE),
+            }
+            members = [hosts.Member(told[change], connection.address)]
+            if change == "replaced":
+                members.append(hosts.Member(replace(entry, server="new"), connection.address))
+            router.host.list_told(api.ListKind.DELTA, members)
+            assert await cache.ended()
+
+    run(scenario)
+
+
+def test_a_connection_that_ended_leaves_the_books() -> None:
+    """Looked at again, one without a socket stopped the listener: nobody could connect any more."""
+
+    async def scenario() -> None:
+        async with Router() as router:
+            client, other = await router.client(), await router.client()
+            client.write(read("r1", info="c=unheard-of,d=900"))
+            error(await client.resp())
+            next(iter(router.listener.connections)).transport.abort()
+            await asyncio.sleep(2 * clients.ERROR_PAUSE)
+            other.write(command("PING"))
+            assert await other.resp() == b"PONG"
+            (left,) = router.listener.connections
+            assert list(router.listener.idle) == [left] and not router.listener.awaited
+
+    run(scenario)
+
+
 # The host alone: what the simulator does for the module
 
 
