Let a crowd in at once; leave out servers that fail in a row

Ruled out: requests in flight (1 or 2), the module's queue (empty), CPU (0.2). Now a new client costs one that has owed a command for 50 ms, else one that asked once, else the one idle for longest. Cause, servers: ERROR, RESET and CONNECT_FAILED neither cut a limit nor took a server out, and their short latencies made it look fast (policy.py, _learn_limit). Three in a row take it out for 0.5 s, doubling, with one request to try it by, half the fleet at most. Origins are indexed. Ids just used are not taken again.

--- a/brackenwalk/net/clients.py
+++ b/brackenwalk/net/clients.py
@@ -23,7 +23,7 @@
 ACCEPT_PAUSE = 0.1  # after a failed accept, so that running out of descriptors does not spin
 COMMAND_TIME = 2.0  # seconds for a whole command to come; a client is owed a word within 3 s
 IDLE_TIME = 2.0  # seconds after which an idle connection may be closed
-GRACE = 0.1  # seconds that a new client has to send its first command, however crowded it is
+GRACE = 0.05  # seconds that a new client has to send its first command, however crowded it is
 SWEEP = 0.25  # seconds between looks for connections that are overdue
 LINGER = 0.5  # seconds for a closing connection to take its last answer
 ERROR_PAUSE = 0.1  # seconds for which a connection is not read after an error
@@ -46,7 +46,7 @@
         self.listener = listener
         self.reader = Reader(MAX_PARTS, MAX_VALUE, MAX_COMMAND)
         self.slots: deque[Slot] = deque()
-        self.greeted = False  # whether a whole command has come
+        self.commands = 0  # whole ones that have come
         self.reading = True
         self.writable = True
         self.paused = False  # after an error
@@ -63,15 +63,18 @@
 
     def buffer_updated(self, nbytes: int) -> None:
         self.listener.idle.pop(self, None)
+        self.reader.feed(self.listener.buffer[:nbytes])
+        self._take_commands()
+
+    def _take_commands(self) -> None:
         try:
-            self.reader.feed(self.listener.buffer[:nbytes])
-            self._take_commands()
+            self._take_whole_ones()
         except Exception:
             # guards the router: a fault here ends this connection alone, and its requests are settled
             log.exception("connection of a client")
             self.transport.abort()
 
-    def _take_commands(self) -> None:
+    def _take_whole_ones(self) -> None:
         # a closing connection takes nothing more: nobody would hear that its client is gone
         while self._wanted() and not self.transport.is_closing():
             try:
@@ -81,7 +84,7 @@
                 return
             if parts is NOT_YET:
                 break
-            self.greeted = True
+            self.commands += 1
             self._take(parts)
         self._read_or_not()
         self.listener.note(self)
@@ -204,18 +207,20 @@
     async def _make_room(self) -> None:
         """Guards the descriptors: a client too many costs one that owes a command, or one that is idle.
 
-        While all have requests open, further ones wait in the backlog.
+        One that asked once and stays goes before one that asks again and again. While all have requests open,
+        further ones wait in the backlog.
         """
         while len(self.connections) > self.budget:
             self.changed.clear()
             now = asyncio.get_running_loop().time()
             late = (c for c, since in self.awaited.items() if now - since > GRACE and not c.unread())
-            # usual clients' are spared while there are others that will be late in a moment
-            idle_time = IDLE_TIME if self.awaited else 0.0
-            idle = (c for c, since in self.idle.items() if now - since >= idle_time and not c.unread())
-            victim = next(late, None) or next(idle, None)
+            once = (c for c in self.idle if c.commands == 1 and not c.unread())
+            idle = (c for c in self.idle if not c.unread())
+            victim = next(late, None) or next(once, None) or next(idle, None)
             if victim is not None:
                 victim.transport.abort()
+                self.forget(victim)
+                continue
             with suppress(TimeoutError):
                 async with asyncio.timeout(GRACE):
                     await self.changed.wait()
@@ -240,7 +245,7 @@
         if connection not in self.connections:
             return
         owing = bool(connection.slots) or connection.ending or connection.paused
-        awaited = not owing and (bool(connection.reader.buffer) or not connection.greeted)
+        awaited = not owing and (bool(connection.reader.buffer) or not connection.commands)
         now = asyncio.get_running_loop().time()
         for books, applies in ((self.awaited, awaited), (self.idle, not owing and not awaited)):
             if not applies:
--- a/brackenwalk/net/host.py
+++ b/brackenwalk/net/host.py
@@ -21,6 +21,7 @@
 # before the client's deadline, which counts from its send: measured, the way takes 1.3 ms at most in each
 # direction and this process 1.4 ms at the 99th percentile; the rest is for a core that others keep busy
 DEADLINE_MARGIN = 0.02
+REMEMBER = 2.0  # seconds at least for which the id of an ended request is not taken again
 MAX_HINT = 12  # digits
 log = logging.getLogger(__name__)
 
@@ -86,6 +87,9 @@
         self.router = Router(settings, seed, self.clock.now())
         self.members: dict[str, Member] = {}
         self.requests: dict[str, Taken] = {}
+        self.used: set[str] = set()  # ids of ended requests
+        self.used_before: set[str] = set()
+        self.used_since = self.clock.now()
         self.over: list[str] = []  # names of requests that may be forgotten
         self.events: deque[api.Event] = deque()
         self.handling = False
@@ -170,8 +174,9 @@
     def take(self, command: Command, answer: Callable[[bytes], None]) -> None:
         """Take a request that is owed one `answer`, or say why it can't be taken."""
         name = command.request.decode()
-        # guards the table: two requests under one id would get each other's answers
-        if name in self.requests:
+        # guards the table: two requests under one id would get each other's answers; and a client against
+        # another that repeats its id, just ended, to be served with what was its own
+        if name in self.requests or name in self.used or name in self.used_before:
             raise CommandError("this request id is in use")
         request_class = self.settings.classes.get(command.info.get("c", ""))
         if request_class is None:
@@ -225,6 +230,10 @@
         taken = self.requests.get(name)
         if taken is not None and taken.closed and not taken.attempts:
             del self.requests[name]
+            now = self.clock.now()
+            if now - self.used_since > REMEMBER:
+                self.used_before, self.used, self.used_since = self.used, set(), now
+            self.used.add(name)
             if taken.expiry is not None:
                 taken.expiry.cancel()
 
--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -35,6 +35,10 @@
 SILENCE = 1.0  # shortest aims without any answer: longer than pauses, soon enough to matter
 KEEP = 0.5  # of the idle time at which a connection costs as much as the handshake it saves
 KEEP_GAIN = 0.01  # of the way back to KEEP with each answer, after failures have cut it by half each
+FAILED = (api.Status.ERROR, api.Status.RESET, api.Status.CONNECT_FAILED)  # fast, and telling nothing of load
+FAILURES = 3  # in a row take a server out: spoilt answers come one by one, those of a dead process together
+PAUSE = 0.5  # seconds out at first, doubled with each trial that fails; routers must not try in step
+MOST_OUT = 0.5  # share of the fleet; when more fails it is not the servers, and the others could not bear it
 UNHEARD = (api.Status.TIMEOUT, api.Status.CANCELLED, api.Status.MOOT)
 
 
@@ -54,6 +58,9 @@
     slowness: float = 0.0  # smoothed share of the target that answers take, as one says little
     quiet_since: float = math.inf  # first send since its last answer
     used_at: float = 0.0  # last end of an attempt
+    failures: int = 0  # in a row
+    pause: float = 0.0
+    out_until: float = -math.inf
 
 
 @dataclass(slots=True, eq=False)
@@ -197,6 +204,7 @@
     def _build_ring(self) -> None:
         """Points follow the size of a server alone, so that others coming or going move none of them."""
         caches = self.caches = [s for s in self.servers.values() if s.cache and s.entry.ready]
+        self.origins = [s for s in self.servers.values() if not s.cache and s.entry.ready]
         for s in caches:
             s.size = s.entry.weight
             if self.settings.live_weights:
@@ -220,8 +228,7 @@
 
     def _origin(self) -> Server | None:
         """The least loaded origin member that may be sent to."""
-        origins = (s for s in self.servers.values() if not s.cache and s.entry.ready)
-        return min(origins, key=lambda s: s.load, default=None)
+        return min(self.origins, key=lambda s: s.load, default=None)
 
     def _choose(self, held: Held) -> Server | None:
         """The bounded walk: a key's load flows clockwise, and each server keeps (1 + epsilon) fair shares."""
@@ -267,12 +274,26 @@
 
     def _eligible(self, held: Held, server: Server) -> bool:
         """Whether a server may take the request now."""
+        if self.now < server.out_until or server.load and server.failures >= FAILURES:
+            return False
         if server.load >= server.limit or server.load and self._silent(server):
             return False
         if any(a.server is server for a in held.attempts):
             return False
         return self._permits(held, server)
 
+    def _note_failure(self, server: Server, failed: bool) -> None:
+        """Guards retries: keys of a server that fails each attempt at once would spend them all."""
+        others = sum(s.failures >= FAILURES for s in self.caches if s is not server)
+        if not failed or not server.cache or others + 1 > MOST_OUT * len(self.caches):
+            server.failures, server.pause = 0, 0.0
+            return
+        server.failures += 1
+        if server.failures >= FAILURES and self.now >= server.out_until:
+            server.pause = min(self.settings.ramp, max(PAUSE, 2 * server.pause))
+            server.out_until = self.now + server.pause * self.random.uniform(0.5, 1.0)
+            server.limit = min(server.limit, LIMIT_START)  # it may come back cold, and the list tells it late
+
     def _silent(self, server: Server) -> bool:
         """Whether a server owes us an answer and has given none, to anything, for too long."""
         return self.now - server.quiet_since > SILENCE * self.shortest_aim
@@ -342,7 +363,7 @@
         held = self.held.get(name)
         if held is not None and held.waiting:
             # half a tick of grace: rounding may wake us a hair before
-            if self.now >= self._latest_start(held) - self.settings.tick / 2:
+            if self.now >= self._latest_start(held, self._origin()) - self.settings.tick / 2:
                 self._end(held)
             else:
                 self._wake_in_time(held)
@@ -387,6 +408,7 @@
         attempt.server.load -= 1
         if event.status not in UNHEARD:
             attempt.server.quiet_since = math.inf
+            self._note_failure(attempt.server, event.status in FAILED)
         attempt.server.used_at = self.now
         lost = event.status is api.Status.CONNECT_FAILED
         self.keep = self.keep / 2 if lost else self.keep + KEEP_GAIN * (KEEP - self.keep)
@@ -427,12 +449,11 @@
 
     def _wake_in_time(self, held: Held) -> None:
         """A timer, so that a request that waits is answered in time whatever comes."""
-        pause = max(0.0, self._latest_start(held) - self.now)
+        pause = max(0.0, self._latest_start(held, self._origin()) - self.now)
         self.out.append(api.SetTimer(pause, "wait:" + held.request.request))
 
-    def _latest_start(self, held: Held) -> float:
+    def _latest_start(self, held: Held, origin: Server | None) -> float:
         """From then on no fetch would be back in time; writes need less room, as they store nothing."""
-        origin = self._origin()
         room = 1.0 if held.request.write else FETCH_ROOM
         return held.until - room * origin.latency if origin is not None else held.until
 
@@ -443,13 +464,15 @@
                 continue
             held.waiting = False
             # no fetch that can't be back in time, but for one to learn by
-            in_time = self.now < (self._latest_start(held) if origin.load else held.until)
+            in_time = self.now < (self._latest_start(held, origin) if origin.load else held.until)
             if in_time and self._permits(held, origin):
                 self._send(held, origin)
             else:
                 self._end(held)
         # guards clients against waiting on for what can't be served any more: they may still ask again
-        for held in [q[2] for q in self.queue if q[2].waiting and self.now >= self._latest_start(q[2])]:
+        origin = self._origin()
+        late = [q[2] for q in self.queue if q[2].waiting and self.now >= self._latest_start(q[2], origin)]
+        for held in late:
             self._end(held)
         # guards against requests long ended piling up behind those of more worth
         self.queue = [q for q in self.queue if q[2].waiting]
@@ -458,6 +481,8 @@
     def _learn_limit(self, attempt: Attempt, event: api.Outcome) -> None:
         """Adapt what this router has out at a server: less when it is slow or full, else a little more."""
         server = attempt.server
+        if event.status in FAILED or event.status is api.Status.MOOT:
+            return
         if event.status is not api.Status.FULL:
             server.latency += SMOOTHING * (event.latency - server.latency)
         server.slowness += SMOOTHING * (event.latency / attempt.target - server.slowness)
