--- a/brackenwalk/net/clients.py
+++ b/brackenwalk/net/clients.py
@@ -208,16 +208,17 @@
     async def _make_room(self) -> None:
         """Guards the descriptors: a client too many costs one that owes a command, or one that is idle.
 
-        One that asked once and stays goes before one that asks again and again. While all have requests open,
-        further ones wait in the backlog.
+        One that has just sent an error goes first, whatever it has sent behind it, and one that asked once
+        and stays before one that asks again and again. While all have requests open, others wait outside.
         """
         while len(self.connections) > self.budget:
             self.changed.clear()
             now = asyncio.get_running_loop().time()
+            erring = (c for c in self.connections if c.paused and not c.slots and not c.ending)
             late = (c for c, since in self.awaited.items() if now - since > GRACE and not c.unread())
             once = (c for c in self.idle if c.commands == 1 and not c.unread())
             idle = (c for c in self.idle if not c.unread())
-            victim = next(late, None) or next(once, None) or next(idle, None)
+            victim = next(erring, None) or next(late, None) or next(once, None) or next(idle, None)
             if victim is not None:
                 self._end(victim)
                 continue
--- a/brackenwalk/net/pool.py
+++ b/brackenwalk/net/pool.py
@@ -72,9 +72,7 @@
         self.exchange: Exchange | None = None
         self.written = False  # whether the request's last byte is
         self.process: object = None  # that it was made to: another may come to its address
-        self.expiry: asyncio.TimerHandle | None = (
-            None  # of an idle connection, or of an answer that has begun
-        )
+        self.expiry: asyncio.TimerHandle | None = None  # of its idle time, or of an answer begun
 
     @abstractmethod
     def encode(self, command: Command, time_left: float) -> bytes:
--- a/tests/test_net_host.py
+++ b/tests/test_net_host.py
@@ -5,6 +5,7 @@
 import asyncio
 import errno
 import socket
+from contextlib import suppress
 from dataclasses import replace
 
 import pytest
@@ -432,6 +433,23 @@
     run(scenario)
 
 
+def test_clients_that_send_errors_make_room_first() -> None:
+    """Never idle, as the next error waits behind the last, they would hold their places for good."""
+
+    async def scenario() -> None:
+        async with Router(clients=2) as router:
+            usual, wrong = await asks(router, 1), await asks(router, 2)
+            wrong.write(read("r1", info="c=unheard-of,d=900") * 100)
+            error(await wrong.resp())
+            _newest = await asks(router, 1)
+            with suppress(ConnectionResetError):
+                await wrong.reader.read()  # to its end
+            usual.write(command("PING"))
+            assert await usual.resp() == b"PONG"
+
+    run(scenario)
+
+
 def test_clients_that_asked_once_make_room_before_the_usual_ones() -> None:
     """A crowd that asks once and stays would cost the usual clients a connection for every request."""
 
