Ask for a lost answer again, within the budget of retries

Now a read unanswered after six times the usual latency goes out once more: to the same server if it has answered others since, which has the key, else clockwise; a miss of it goes on to the origin. Each costs a retry of the budget.

--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -33,6 +33,7 @@
 RETRY_SHARE = 0.2  # retries for each request taken: enough for a server lost, too few to feed an overload
 RETRIES_SAVED = 10.0  # unspent retries kept, so that those of a lost server can all go at once
 OUTLIER = 4.0  # times what is usual: the most that one sample says, or one lost answer makes all look late
+COPY = 6.0  # times the usual latency after which an answer is more likely lost than late
 SILENCE = 1.0  # shortest aims without any answer: longer than pauses, soon enough to matter
 KEEP = 0.5  # of the idle time at which a connection costs as much as the handshake it saves
 KEEP_GAIN = 0.01  # of the way back to KEEP with each answer, after failures have cut it by half each
@@ -354,6 +355,27 @@
         server.load += 1
         server.quiet_since = min(server.quiet_since, self.now)
         self.out.append(api.Send(name, server.entry.server))
+        pause = max(COPY * server.latency, self.settings.tick)
+        safe = held.request_class.effect is api.Effect.SAFE and self.settings.second_copies
+        if safe and server.cache and server.latency and self.now + pause < held.until:
+            self.out.append(api.SetTimer(pause, "copy:" + name))
+
+    def _copy(self, held: Held) -> None:
+        """Guards reads against answers that are lost, within the budget of retries.
+
+        A server that has answered others since has the key; one that has not may be out.
+        """
+        last = held.attempts[-1]
+        if held.waiting or held.streaming or held.to_origin or not last.open or self.retries < 1:
+            return
+        server: Server | None = last.server
+        listed = self.servers.get(last.server.entry.server) is server and last.server.entry.ready
+        alive = listed and last.server.quiet_since > last.sent_at and self.now >= last.server.out_until
+        if not alive or last.server.load >= last.server.limit:
+            server = self._choose(held)
+        if server is not None and self._permits(held, server):
+            self.retries -= 1
+            self._send(held, server)
 
     def _on_timer(self, event: api.TimerFired) -> None:
         what, _, name = event.token.partition(":")
@@ -362,7 +384,9 @@
         elif what == "idle":
             self._close_idle(self.servers.get(name))
         held = self.held.get(name)
-        if held is not None and held.waiting:
+        if held is not None and what == "copy":
+            self._copy(held)
+        elif held is not None and held.waiting:
             # half a tick of grace: rounding may wake us a hair before
             if self.now >= self._latest_start(held, self._origin()) - self.settings.tick / 2:
                 self._end(held)
@@ -422,7 +446,7 @@
         if held is not None:
             if event.closed or event.status is api.Status.OK:
                 self._forget(held)
-            elif not held.waiting and not held.open_attempts():
+            elif not held.waiting and (event.status is api.Status.MISS or not held.open_attempts()):
                 self._after_failure(held, event)
         if not attempt.server.cache:
             self._serve_queue()
