Take nothing from a closing connection the short way either; drop dead code

Need: read again, the short way for plain commands lacked the check that the usual way has: a command that came on a closing connection was taken with nobody left to hear that its client is gone.

--- a/bench/rig.py
+++ b/bench/rig.py
@@ -22,7 +22,6 @@
 VALUE = b"v" * 64
 HIT = b"*3\r\n$%d\r\n%b\r\n$3\r\nhit\r\n$-1\r\n" % (len(VALUE), VALUE)
 SERVED = b"$%d\r\n%b\r\n" % (len(VALUE), VALUE)
-END_OF_COMMAND = b"\r\n"
 START_TIME = 20.0  # seconds for a process to listen
 STARTED = "bench.rig"
 
--- a/brackenwalk/net/clients.py
+++ b/brackenwalk/net/clients.py
@@ -91,7 +91,9 @@
         hidden = not self.commands or turns.before > LONG_TURN
         self.waited = data_age(self.socket) if hidden else turns.waited()
         self.listener.idle.pop(self, None)
-        if not self.reader.buffer and len(data) < MAX_SHORT and self._wanted():
+        # a closing one takes nothing more: nobody would hear that its client is gone
+        takes = self._wanted() and not self.transport.is_closing()
+        if takes and not self.reader.buffer and len(data) < MAX_SHORT:
             parts = split_command(data)
             if parts is not None:
                 self.commands += 1
--- a/brackenwalk/net/turns.py
+++ b/brackenwalk/net/turns.py
@@ -16,7 +16,6 @@
     def __init__(self) -> None:
         self.began = 0.0  # of the turn that runs
         self.before = 0.0  # seconds that the one before took
-        self.longest = 0.0  # since it was last taken
         self.running = False
 
     def note(self) -> None:
@@ -29,15 +28,9 @@
     def _end(self) -> None:
         self.running = False
         self.before = time.monotonic() - self.began
-        self.longest = max(self.longest, self.before)
 
     def waited(self) -> float:
         """Seconds for which what is in hand has likely waited: half the turn before, and this one so far."""
         if not self.running:
             return 0.0
         return time.monotonic() - self.began + self.before / 2
-
-    def take_longest(self) -> float:
-        """Seconds of the longest turn since the last call, one that runs now included."""
-        longest, self.longest = self.longest, 0.0
-        return max(longest, time.monotonic() - self.began if self.running else 0.0)
