Tell lost answers from slow ones: limits learn from answers only, lost fetches free their place

Cause: an origin that lost eight answers a second in 50 ms had its limit cut by a quarter for each, each lost fetch held a place until its request's time was up, and misses that were refused were never stored, so that misses fed themselves (0.10 to 0.45 of the reads).

Change: evidence.py judges each outcome (answered, crowded, failed, lost, stalled, nothing). What later sends have overtaken is lost, gives its place back and is asked for again within the retry budget. When all places may be lost one trial goes out each time an answer would have been due (found by the property test: five lost at a limit of five held the origin for 2.5 s). An origin that answers in a quarter of its target doubles its limit, bounded by twice what is out. Misses of a key follow one fetch and then ask where it was stored. Time left is weighed by the distribution of latencies; an idle place needs a chance of 0.2.

--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -14,9 +14,10 @@
 import random
 import struct
 from bisect import bisect_left
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from brackenwalk import interface as api
+from brackenwalk.evidence import OUTLIER, SMOOTHING, UNHEARD, Evidence, Verdict
 
 POINTS = 128  # virtual nodes of a server as large as the unit of weight: shares within a tenth or so
 EPSILON = 0.25  # a server may stand this far above the average load before the walk passes it
@@ -27,21 +28,22 @@
 LIMIT_START = 4.0  # first guess of what one router may have out at a server; moves within seconds
 CACHE_TARGET = 0.25  # of the aim: answers slower than this on average mean that too many are out
 ORIGIN_TARGET = 0.5  # the same for the origin, which is slow by nature
+UNKNOWN = 0.25  # of the shortest aim: how long a first answer may take before another attempt is tried
+ROUNDING = 1e-6  # seconds by which a timer may come early
+STORED = 2  # servers that lacked a key, at which a fetch stores it
+IDLE = 0.5  # of a limit: with less out than that there are places that nobody else wants
+FAIR_CHANCE = 0.2  # of an answer in time: worth a place that nobody else wants
 FETCH_ROOM = 2.0  # times the usual latency that must be left: a fetch given up midway is not even stored
-SMOOTHING = 0.2  # of the latest sample in a mean; five answers or so are remembered
+EASY = 0.25  # of the target: an origin that answers so fast gets twice as much within its latency
 LIMIT_CUT = 0.75  # soon enough to empty a crowded server within a few rounds; a tenth took many seconds
 RETRY_SHARE = 0.2  # retries for each request taken: enough for a server lost, too few to feed an overload
 RETRIES_SAVED = 10.0  # unspent retries kept, so that those of a lost server can all go at once
-OUTLIER = 4.0  # times what is usual: the most that one sample says, or one lost answer makes all look late
-COPY = 6.0  # times the usual latency after which an answer is more likely lost than late
 SILENCE = 1.0  # shortest aims without any answer: longer than pauses, soon enough to matter
 KEEP = 0.5  # of the idle time at which a connection costs as much as the handshake it saves
 KEEP_GAIN = 0.01  # of the way back to KEEP with each answer, after failures have cut it by half each
-FAILED = (api.Status.ERROR, api.Status.RESET, api.Status.CONNECT_FAILED)  # fast, and telling nothing of load
 FAILURES = 3  # in a row take a server out: spoilt answers come one by one, those of a dead process together
 PAUSE = 0.5  # seconds out at first, doubled with each trial that fails; routers must not try in step
 MOST_OUT = 0.5  # share of the fleet; when more fails it is not the servers, and the others could not bear it
-UNHEARD = (api.Status.TIMEOUT, api.Status.CANCELLED, api.Status.MOOT)
 
 
 @dataclass(slots=True, eq=False)
@@ -50,19 +52,18 @@
 
     entry: api.ServerEntry
     cache: bool = True  # or the origin
-    load: int = 0  # own attempts in flight
+    load: int = 0  # own attempts that may still come back
     size: float = 1.0  # its weight, steady
     reported: float = 0.0  # requests held for each unit of size, by all routers, seconds ago
     points: tuple[int, ...] = ()  # its positions on the ring
     limit: float = LIMIT_START  # of own attempts in flight
     cut_at: float = -math.inf
-    latency: float = 0.0  # smoothed
     slowness: float = 0.0  # smoothed share of the target that answers take, as one says little
-    quiet_since: float = math.inf  # first send since its last answer
     used_at: float = 0.0  # last end of an attempt
     failures: int = 0  # in a row
     pause: float = 0.0
     out_until: float = -math.inf
+    evidence: Evidence = field(default_factory=Evidence)
 
 
 @dataclass(slots=True, eq=False, init=False)
@@ -74,6 +75,7 @@
     sent_at: float
     open: bool
     may_have_run: bool  # until an outcome proves the contrary
+    lost: bool  # more likely than late: it holds no place any more
 
     def __init__(self, server: Server, target: float, sent_at: float) -> None:
         self.server = server
@@ -81,6 +83,7 @@
         self.sent_at = sent_at
         self.open = True
         self.may_have_run = True
+        self.lost = False
 
 
 @dataclass(slots=True, eq=False, init=False)
@@ -94,6 +97,7 @@
     attempts: list[Attempt]
     waiting: bool  # for a place at the origin, or for any server at all
     streaming: bool
+    missed: list[Server]  # that lacked its key: a fetch stores it there
 
     def __init__(
         self, request: api.Request, request_class: api.RequestClass, until: float, to_origin: bool
@@ -105,6 +109,7 @@
         self.attempts = []
         self.waiting = False
         self.streaming = False
+        self.missed = []
 
     def open_attempts(self) -> int:
         return sum(a.open for a in self.attempts)
@@ -138,7 +143,9 @@
         self.sizes: dict[str, float] = {}  # the largest weight seen of a kind
         self.held: dict[str, Held] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}
-        self.queue: list[tuple[float, int, Held]] = []  # for the origin, or any server: worth, then age
+        # for the origin, or any server: worth, then how often a key is asked for, then age
+        self.queue: list[tuple[float, int, int, Held]] = []
+        self.fetches: dict[str, tuple[Held, list[Held]]] = {}  # of each key: who fetches it, and who follows
         self.queued = 0
         self.swept_at = -math.inf
         self.list_failures = 0
@@ -213,7 +220,7 @@
         else:
             self._subscribe()
         queue, self.queue = sorted(self.queue), []
-        for _, _, held in queue:
+        for *_, held in queue:
             if held.waiting:
                 held.waiting = False
                 self._advance(held)
@@ -311,8 +318,11 @@
 
     def _too_late(self, held: Held, server: Server) -> bool:
         """Refuses by chance what would wait too long. Guards against rooms so full that all is late."""
-        crowd = server.reported / QUEUE if self.settings.live_weights else 1.0  # told, or seen in own waits
-        return self.random.random() * self.wait * crowd > held.until - self.now
+        left = held.until - self.now
+        if self.settings.live_weights:  # told how crowded it is
+            return self.random.random() * self.wait * server.reported / QUEUE > left
+        # an idle place costs nothing, one that others want is given by the chance to be in time
+        return self.random.random() * server.load / server.limit > server.evidence.latencies.chance(left)
 
     def _eligible(self, held: Held, server: Server) -> bool:
         """Whether a server may take the request now."""
@@ -338,7 +348,7 @@
 
     def _silent(self, server: Server) -> bool:
         """Whether a server owes us an answer and has given none, to anything, for too long."""
-        return self.now - server.quiet_since > SILENCE * self.shortest_aim
+        return self.now - server.evidence.quiet_since > SILENCE * self.shortest_aim
 
     def _warm_share(self, server: Server) -> float:
         """Share of its points that count: the stated warm-up, cut by our own share of good answers."""
@@ -395,29 +405,57 @@
         self.attempts[name, len(held.attempts)] = attempt
         held.attempts.append(attempt)
         server.load += 1
-        server.quiet_since = min(server.quiet_since, self.now)
+        server.evidence.sent(self.now)
         self.out.append(api.Send(name, server.entry.server))
-        pause = max(COPY * server.latency, self.settings.tick)
-        safe = held.request_class.effect is api.Effect.SAFE and self.settings.second_copies
-        if safe and server.cache and server.latency and self.now + pause < held.until:
-            self.out.append(api.SetTimer(pause, "copy:" + name))
+        self._look_again(held, attempt)
 
-    def _copy(self, held: Held) -> None:
-        """Guards reads against answers that are lost, within the budget of retries.
+    def _look_again(self, held: Held, attempt: Attempt) -> None:
+        """A timer for when an attempt without an answer will be more likely lost than late."""
+        server = attempt.server
+        overdue = server.evidence.overdue_after() if server.cache else self._pause_before_trial(server)
+        if overdue and self.now < held.until:
+            age = self.now - attempt.sent_at
+            pause = overdue - age if age < overdue else overdue
+            self.out.append(api.SetTimer(max(pause, self.settings.tick), f"overdue:{held.request.request}"))
+
+    def _overdue(self, held: Held) -> None:
+        """Takes back the places of what is lost, and sends again what may be, within the budget of retries.
 
-        A server that has answered others since has the key; one that has not may be out.
+        Guards limits: each place held by an answer that never comes is one fewer for those that do, until
+        the request's time is up.
         """
         last = held.attempts[-1]
-        if held.waiting or held.streaming or held.to_origin or not last.open or self.retries < 1:
+        for attempt in held.attempts:
+            if attempt.open and not attempt.lost and attempt.server.evidence.lost(self.now, attempt.sent_at):
+                attempt.lost = True
+                attempt.server.load -= 1
+                if not attempt.server.cache:
+                    self._release(held, served=False)
+        self._serve_queue()
+        if not last.open or held.waiting or held.streaming:
             return
+        late = self.now - last.sent_at >= last.server.evidence.overdue_after() - ROUNDING
+        if late and self.retries >= 1 and self._copy(held, last):
+            return
+        if not last.lost and (not late or held.to_origin):
+            self._look_again(held, last)  # what is usual has become longer, or may yet be overtaken
+
+    def _copy(self, held: Held, last: Attempt) -> bool:
+        """Ask again. A server that has answered others since has the key; one that has not may be out."""
         server: Server | None = last.server
-        listed = self.servers.get(last.server.entry.server) is server and last.server.entry.ready
-        alive = listed and last.server.quiet_since > last.sent_at and self.now >= last.server.out_until
-        if not alive or last.server.load >= last.server.limit:
-            server = self._choose(held)
-        if server is not None and self._permits(held, server):
-            self.retries -= 1
-            self._send(held, server)
+        if held.to_origin:
+            server = self._origin() if last.lost else None
+        else:
+            listed = self.servers.get(last.server.entry.server) is server and last.server.entry.ready
+            alive = listed and last.lost and self.now >= last.server.out_until
+            if not alive or last.server.load >= last.server.limit:
+                server = self._choose(held)
+        room = server is not None and (server.cache or server.load < server.limit)
+        if server is None or not room or not self._permits(held, server):
+            return False
+        self.retries -= 1
+        self._send(held, server)
+        return True
 
     def _on_timer(self, event: api.TimerFired) -> None:
         what, _, name = event.token.partition(":")
@@ -426,8 +464,8 @@
         elif what == "idle":
             self._close_idle(self.servers.get(name))
         held = self.held.get(name)
-        if held is not None and what == "copy":
-            self._copy(held)
+        if held is not None and what == "overdue":
+            self._overdue(held)
         elif held is not None and held.waiting:
             # half a tick of grace: rounding may wake us a hair before
             if self.now >= self._latest_start(held, self._origin()) - self.settings.tick / 2:
@@ -455,13 +493,15 @@
         name = held.request.request
         origin = self._origin() if held.to_origin else None
         # by then what stood in its way is over; guards against clients that ask again while it is not
-        come_back = min(self.settings.max_retry_after, origin.latency if origin else self.wait)
+        wait = origin.evidence.usual * (1 + len(self.queue) / origin.limit) if origin else self.wait
+        come_back = min(self.settings.max_retry_after, wait)
         self.out.append(api.Refuse(name, come_back) if self._permits(held, None) else api.Fail(name))
         self._forget(held)
 
-    def _forget(self, held: Held) -> None:
+    def _forget(self, held: Held, served: bool = False) -> None:
         held.waiting = False
         del self.held[held.request.request]
+        self._release(held, served)
         for number, attempt in enumerate(held.attempts):
             if attempt.open and self.settings.may_cancel:
                 self.out.append(api.Cancel(held.request.request, number))
@@ -472,22 +512,24 @@
             return
         attempt.open = False
         attempt.may_have_run = event.status not in api.NEVER_RAN
-        attempt.server.load -= 1
+        if not attempt.lost:
+            attempt.server.load -= 1
+        verdict = attempt.server.evidence.judge(self.now, attempt.sent_at, event.status, event.latency)
         if event.status not in UNHEARD:
-            attempt.server.quiet_since = math.inf
-            self._note_failure(attempt.server, event.status in FAILED)
+            self._note_failure(attempt.server, verdict is Verdict.FAILED)
         attempt.server.used_at = self.now
         lost = event.status is api.Status.CONNECT_FAILED
         self.keep = self.keep / 2 if lost else self.keep + KEEP_GAIN * (KEEP - self.keep)
         self._close_idle(attempt.server)
-        if attempt.server.cache and event.status is not api.Status.MOOT:
+        if attempt.server.cache and verdict not in (Verdict.NOTHING, Verdict.LOST):
             self.good += SMOOTHING * ((event.status in (api.Status.OK, api.Status.MISS)) - self.good)
-            self.wait += SMOOTHING * (event.latency / (1 + attempt.server.reported) - self.wait)
-        self._learn_limit(attempt, event)
+            if verdict is Verdict.ANSWERED or verdict is Verdict.CROWDED:
+                self.wait += SMOOTHING * (event.latency / (1 + attempt.server.reported) - self.wait)
+        self._learn_limit(attempt, verdict, event.latency)
         held = self.held.get(event.request)
         if held is not None:
             if event.closed or event.status is api.Status.OK:
-                self._forget(held)
+                self._forget(held, event.status is api.Status.OK and not attempt.server.cache)
             elif not held.waiting and (event.status is api.Status.MISS or not held.open_attempts()):
                 self._after_failure(held, event)
         if not attempt.server.cache:
@@ -497,6 +539,7 @@
         """The origin is next after a miss; after anything else a retry, while the budget lasts."""
         if event.status is api.Status.MISS and self.settings.aside:
             held.to_origin = True
+            held.missed.append(held.attempts[event.attempt].server)
         elif event.status is api.Status.ERROR and not self.settings.aside:
             held.until = self.now  # guards against a failing origin: each server tried fetches the key again
         elif not held.to_origin and (event.status is not api.Status.FULL or self.good < ROOM):
@@ -507,26 +550,73 @@
         self._advance(held)
 
     def _enqueue(self, held: Held) -> None:
-        """Wait for a place at the origin, or any: worth first, or writes wait behind misses; then age."""
+        """Wait for a place at the origin, or any: worth first, or writes wait behind misses.
+
+        Then keys that are asked for often, whose fetch saves the most others; then age.
+        """
         held.waiting = True
         self._wake_in_time(held)
+        key = held.request.key
+        if held.to_origin and not held.request.write and key is not None:
+            first, followers = self.fetches.setdefault(key, (held, []))
+            if first is not held:
+                followers.append(held)
+                return
         self.queued += 1
-        heapq.heappush(self.queue, (-held.request_class.worth, self.queued, held))
+        often = self.seen.get(key, 0) if key is not None else 0
+        heapq.heappush(self.queue, (-held.request_class.worth, -often, self.queued, held))
         self._serve_queue()
 
+    def _release(self, first: Held, served: bool) -> None:
+        """The fetch that others follow is over, or likely lost.
+
+        Guards the origin against one fetch for each request that misses while the first is out. What it was
+        asked for is stored where the first missed; the others ask there, as no answer is made for two.
+        """
+        key = first.request.key
+        if key is None or self.fetches.get(key, (None,))[0] is not first:
+            return
+        _, followers = self.fetches.pop(key)
+        stored = [s for s in first.missed[:STORED] if self.servers.get(s.entry.server) is s and s.entry.ready]
+        for held in followers:
+            if not held.waiting:
+                continue
+            held.waiting = False
+            there = next((s for s in stored if s.load < s.limit and self.now >= s.out_until), None)
+            spare = len(held.attempts) + 2 <= self.settings.max_attempts  # it may miss there once more
+            if served and there is not None and spare and self._permits(held, there):
+                self._send(held, there)
+            else:
+                self._advance(held)
+
     def _wake_in_time(self, held: Held) -> None:
         """A timer, so that a request that waits is answered in time whatever comes."""
         pause = max(0.0, self._latest_start(held, self._origin()) - self.now)
         self.out.append(api.SetTimer(pause, "wait:" + held.request.request))
 
     def _latest_start(self, held: Held, origin: Server | None) -> float:
-        """From then on no fetch would be back in time; writes need less room, as they store nothing."""
-        room = 1.0 if held.request.write else FETCH_ROOM
-        return held.until - room * origin.latency if origin is not None else held.until
+        """From then on no fetch would likely be back in time; writes need less room, as they store nothing.
+
+        A place that nobody else wants costs nothing: there a fair chance is enough.
+        """
+        if origin is None:
+            return held.until
+        if origin.load < IDLE * origin.limit:
+            return held.until - origin.evidence.latencies.quantile(FAIR_CHANCE)
+        return held.until - (1.0 if held.request.write else FETCH_ROOM) * origin.evidence.usual
+
+    def _pause_before_trial(self, origin: Server) -> float:
+        return origin.evidence.overdue_after() or UNKNOWN * self.shortest_aim
+
+    def _has_place(self, origin: Server) -> bool:
+        """Whether a fetch may go: below the limit, or as a trial when all that is out may be lost."""
+        if origin.load < origin.limit:
+            return True
+        return origin.evidence.trial_due(self.now + ROUNDING, self._pause_before_trial(origin))
 
     def _serve_queue(self) -> None:
-        while self.queue and (origin := self._origin()) is not None and origin.load < origin.limit:
-            held = heapq.heappop(self.queue)[2]
+        while self.queue and (origin := self._origin()) is not None and self._has_place(origin):
+            held = heapq.heappop(self.queue)[-1]
             if not held.waiting:
                 continue
             held.waiting = False
@@ -541,27 +631,28 @@
         self.swept_at = self.now  # not for each that comes: a long queue would cost more than what it holds
         # guards clients against waiting on for what can't be served any more: they may still ask again
         origin = self._origin()
-        late = [q[2] for q in self.queue if q[2].waiting and self.now >= self._latest_start(q[2], origin)]
+        late = [q[-1] for q in self.queue if q[-1].waiting and self.now >= self._latest_start(q[-1], origin)]
         for held in late:
             self._end(held)
         # guards against requests long ended piling up behind those of more worth
-        self.queue = [q for q in self.queue if q[2].waiting]
+        self.queue = [q for q in self.queue if q[-1].waiting]
         heapq.heapify(self.queue)
 
-    def _learn_limit(self, attempt: Attempt, event: api.Outcome) -> None:
-        """Adapt what this router has out at a server: less when it is slow or full, else a little more."""
+    def _learn_limit(self, attempt: Attempt, verdict: Verdict, latency: float) -> None:
+        """Adapt what this router has out at a server: less when it is slow or full, else more.
+
+        Nothing else moves it: neither what is lost nor a stall says what a server bears.
+        """
         server = attempt.server
-        if event.status in FAILED or event.status is api.Status.MOOT:
+        if verdict not in (Verdict.ANSWERED, Verdict.CROWDED):
             return
-        if event.status is not api.Status.FULL:
-            latency = min(event.latency, OUTLIER * server.latency) if server.latency else event.latency
-            server.latency += SMOOTHING * (latency - server.latency)
-        server.slowness += SMOOTHING * (min(OUTLIER, event.latency / attempt.target) - server.slowness)
-        if event.status is api.Status.FULL or server.slowness > 1.0:
+        server.slowness += SMOOTHING * (min(OUTLIER, latency / attempt.target) - server.slowness)
+        if verdict is Verdict.CROWDED or server.slowness > 1.0:
             if self.now - server.cut_at > attempt.target:
                 server.limit = max(1.0, server.limit * LIMIT_CUT)
                 server.cut_at = self.now
-            if event.status is api.Status.FULL:  # what is out there now is what it bears
+            if verdict is Verdict.CROWDED:  # what is out there now is what it bears
                 server.limit = max(1.0, min(server.limit, server.load))
-        elif event.status in (api.Status.OK, api.Status.MISS) and server.load + 1 >= server.limit / 2:
-            server.limit += 1 / server.limit
+        # bounds it from above, by twice what is out: room that nothing has tried proves nothing
+        elif server.load + 1 >= server.limit / 2:
+            server.limit += 1.0 if not server.cache and server.slowness < EASY else 1 / server.limit
