Pass long answers through in pieces instead of throwing them away as spoilt

Cause: one answer in eight was 250 to 400 KB, good, and ended its attempt at the head; each was asked for up to six times and cost a connection each time.

Change: a value over 64 KiB goes on as it comes, once 64 KiB are there, up to limits.longest_answer (1 MiB). A client that takes it slowly slows its server's connection, 200 are held at most. The last byte waits for a good end; what breaks off closes the client's connection. No other attempt once the first byte has gone. Connections read into one shared buffer. Origin answers are read without h11 while plain, in any pieces; the event loop is looked up once (getpid was 4% of a full core).

--- a/brackenwalk/__main__.py
+++ b/brackenwalk/__main__.py
@@ -17,10 +17,11 @@
 from brackenwalk import interface as api
 from brackenwalk import policy
 from brackenwalk.net.clients import Listener
+from brackenwalk.net.command import MAX_VALUE
 from brackenwalk.net.discovery import Discovery, ListError, read_list
 from brackenwalk.net.host import Host, Member
 from brackenwalk.net.origin import OriginConnection
-from brackenwalk.net.pool import Pool, address_of
+from brackenwalk.net.pool import MAX_PASSED, Pool, address_of
 from brackenwalk.net.servers import CacheConnection
 from brackenwalk.overload.core import CoreControl
 from brackenwalk.settings import number, read_settings, section
@@ -47,6 +48,7 @@
     discovery: str
     seed: int
     sockets: int
+    longest_answer: int  # bytes of a value
     known_index: int
     known: list[Member]
     settings: api.Settings
@@ -76,12 +78,15 @@
         raise ConfigError(f"seed must be hex digits, not {seed!r}") from None
     try:
         settings = read_settings(table.get("settings"))
-        sockets = int(number(section(table, "limits"), "sockets", 1024, "limits.", 64))
+        limits = section(table, "limits")
+        sockets = int(number(limits, "sockets", 1024, "limits.", 64))
+        longest = int(number(limits, "longest_answer", MAX_PASSED, "limits.", MAX_VALUE))
         index, _, known = read_list(table.get("known"), "known")
     except (api.SettingsError, ListError) as e:
         raise ConfigError(str(e)) from e
     listen = address_of(read_address(table, "listen"))
-    return Config(listen, read_address(table, "discovery"), seed_number, sockets, index, known, settings)
+    discovery = read_address(table, "discovery")
+    return Config(listen, discovery, seed_number, sockets, longest, index, known, settings)
 
 
 def read_file(path: str) -> bytes:
@@ -97,8 +102,8 @@
     settings = config.settings
     room = config.sockets - RESERVE
     dial, idle = settings.dial_timeout, settings.connection_idle
-    servers = Pool(CacheConnection, room * 3 // 8, dial, idle)
-    origin = Pool(OriginConnection, room // 8, dial, idle)
+    servers = Pool(CacheConnection, room * 3 // 8, dial, idle, config.longest_answer)
+    origin = Pool(OriginConnection, room // 8, dial, idle, config.longest_answer)
 
     def subscribe() -> None:
         discovery.subscribe()
--- a/brackenwalk/net/clients.py
+++ b/brackenwalk/net/clients.py
@@ -14,7 +14,7 @@
 from brackenwalk.net.command import MAX_INFO, MAX_KEY, MAX_VALUE, CommandError, read_command
 from brackenwalk.net.host import Host
 from brackenwalk.net.logs import BoundedLog
-from brackenwalk.net.pool import readable
+from brackenwalk.net.pool import Exchange, readable
 from brackenwalk.net.resp import NOT_YET, Message, Reader, RespError, split_command
 from brackenwalk.net.transport import Transport
 
@@ -33,6 +33,7 @@
 GRACE = 0.05  # seconds that a new client has to send its first command, however crowded it is
 SWEEP = 0.1  # seconds between looks for connections that are overdue
 LINGER = 0.5  # seconds for a closing connection to take its last answer
+MAX_HOLDING = 200  # long answers whose clients take them slowly, each with two chunks of 64 KiB at most
 ERROR_PAUSE = 0.1  # seconds for which a connection is not read after an error
 LAST_DATA_RECEIVED = 52  # the offset in tcp_info of a 32-bit number of milliseconds
 log = logging.getLogger(__name__)
@@ -51,17 +52,56 @@
 class Slot:
     """A command's place in the order of answers."""
 
-    __slots__ = ("answer", "connection", "request")
+    __slots__ = ("answer", "connection", "pieces", "request", "source")
 
     def __init__(self, connection: ClientConnection) -> None:
         self.connection = connection
         self.request: str | None = None
         self.answer: bytes | None = None
+        self.source: Exchange | None = None  # of a long answer
+        self.pieces: list[bytes] = []  # of it, that wait for the answers before it
 
     def fill(self, answer: bytes) -> None:
         """Give the command its answer."""
         self.connection.answered(self, answer)
 
+    def begin(self, length: int, source: Exchange) -> None:
+        """A long answer begins."""
+        self.source = source
+        self.piece(b"$%d\r\n" % length)
+
+    def piece(self, data: bytes) -> None:
+        """Pass on a piece of it, or hold it, and stop its source, until that can be done."""
+        self.pieces.append(data)
+        connection = self.connection
+        if connection.slots and connection.slots[0] is self:
+            connection.flush(self)
+        if not connection.writable or self.pieces:
+            self.hold()
+
+    def hold(self) -> None:
+        """Read no more of it until its client takes what there is."""
+        if self.source is not None and not self.connection.transport.is_closing():
+            self.source.pause()
+            self.connection.listener.hold(self)
+
+    def go_on(self) -> None:
+        if self.source is not None:
+            self.connection.listener.holding.pop(self, None)
+            self.source.resume()
+
+    def end(self) -> None:
+        """The long answer is whole."""
+        self.source = None
+        self.connection.listener.holding.pop(self, None)
+        self.connection.answered(self, b"\r\n")
+
+    def cut(self) -> None:
+        """It will not be whole: only a close tells, as the client counts what it was promised."""
+        self.source = None
+        self.connection.listener.holding.pop(self, None)
+        self.connection.transport.abort()
+
 
 class ClientConnection(asyncio.Protocol):
     """One client's connection."""
@@ -147,7 +187,7 @@
         try:
             command = read_command(parts)
             slot.request = command.request.decode()
-            self.host.take(command, slot.fill, self.waited)
+            self.host.take(command, slot, self.waited)
         except CommandError as e:
             slot.request = None
             # guards the other clients: one that sends errors at full speed would take the core for itself
@@ -164,14 +204,29 @@
     def answered(self, slot: Slot, answer: bytes) -> None:
         """Pass on what is at the head of the order of answers."""
         slot.answer = answer
-        while self.slots and self.slots[0].answer is not None:
-            self.transport.write(self.slots.popleft().answer or b"")
+        while self.slots:
+            head = self.slots[0]
+            if head.pieces:
+                self.flush(head)
+            if head.answer is None:
+                break
+            self.slots.popleft()
+            if head.answer:
+                self.transport.write(head.answer)
         if not self.slots:
             self.listener.note(self)
+        elif self.writable:
+            self.slots[0].go_on()
         if self.ending and not self.slots:
             self.close()
         elif not self.reading and not self.ending:
-            asyncio.get_running_loop().call_soon(self._take_commands)
+            self.listener.loop.call_soon(self._take_commands)
+
+    def flush(self, slot: Slot) -> None:
+        """Pass on what has come of the long answer that is at the head."""
+        pieces, slot.pieces = slot.pieces, []
+        for piece in pieces:
+            self.transport.write(piece)
 
     def end_with(self, error: str) -> None:
         """Answer with an error and close: where the next command begins can't be told any more."""
@@ -204,9 +259,13 @@
     def pause_writing(self) -> None:
         self.writable = False
         self._read_or_not()
+        if self.slots:
+            self.slots[0].hold()
 
     def resume_writing(self) -> None:
         self.writable = True
+        if self.slots:
+            self.slots[0].go_on()
         self._take_commands()
 
     def unread(self) -> bool:
@@ -216,6 +275,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.listener.forget(self)
         for slot in self.slots:
+            self.listener.holding.pop(slot, None)
             if slot.answer is None and slot.request is not None:
                 self.host.client_gone(slot.request)
         self.slots.clear()
@@ -229,6 +289,7 @@
         self.budget = budget
         self.connections: dict[ClientConnection, None] = {}
         self.coming: set[asyncio.Task[None]] = set()  # accepted, and not yet among those
+        self.holding: dict[Slot, None] = {}  # long answers that their clients don't take, longest first
         self.erring: dict[ClientConnection, None] = {}  # that are not read, having sent an error
         # connections on which nothing is owed, each since when, longest first
         self.awaited: dict[ClientConnection, float] = {}  # a first command, or the rest of one
@@ -237,9 +298,11 @@
         self.changed = asyncio.Event()  # a connection has ended or fallen idle
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.tasks: list[asyncio.Task[None]] = []
+        self.loop: asyncio.AbstractEventLoop  # from the start on
 
     def start(self, address: tuple[str, int]) -> None:
         """Listen and accept."""
+        self.loop = asyncio.get_running_loop()
         self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.socket.setblocking(False)
         self.socket.bind(address)
@@ -329,20 +392,29 @@
         connection.transport.abort()
         self.forget(connection)
 
+    def hold(self, slot: Slot) -> None:
+        """Guards memory: of too many clients that take nothing, the one that began first is ended."""
+        self.holding[slot] = None
+        if len(self.holding) > MAX_HOLDING:
+            next(iter(self.holding)).connection.transport.abort()
+
     def note(self, connection: ClientConnection) -> None:
         """Keep the books on a connection that may have begun to owe a command, or fallen idle."""
         # guards the listener: one that has ended would stay in the books, without a socket to look at
         if connection not in self.connections:
             return
         owing = bool(connection.slots) or connection.ending or connection.paused
-        awaited = not owing and (bool(connection.reader.buffer) or not connection.commands)
-        now = asyncio.get_running_loop().time()
-        for books, applies in ((self.awaited, awaited), (self.idle, not owing and not awaited)):
-            if not applies:
-                books.pop(connection, None)
-            elif connection not in books:
-                books[connection] = now
-                self.changed.set()
+        if owing:
+            self.awaited.pop(connection, None)
+            self.idle.pop(connection, None)
+            return
+        books, others = self.idle, self.awaited
+        if connection.reader.buffer or not connection.commands:
+            books, others = others, books
+        others.pop(connection, None)
+        if connection not in books:
+            books[connection] = self.loop.time()
+            self.changed.set()
 
     def forget(self, connection: ClientConnection) -> None:
         """Note that a connection is closed."""
--- a/brackenwalk/net/host.py
+++ b/brackenwalk/net/host.py
@@ -11,6 +11,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Protocol
 
 from brackenwalk import interface as api
 from brackenwalk.net.command import Command, CommandError
@@ -43,37 +44,76 @@
     return b"-BUSY %d\r\n" % pause if pause else b"-BUSY\r\n"
 
 
+class Reply(Protocol):
+    """Where a request's one answer goes: whole, or a long value as it comes."""
+
+    def fill(self, answer: bytes) -> None:
+        """The whole answer."""
+
+    def begin(self, length: int, source: Exchange) -> None:
+        """A value of so many bytes begins; its source can be paused."""
+
+    def piece(self, data: bytes) -> None:
+        """The next bytes of it."""
+
+    def end(self) -> None:
+        """It is whole."""
+
+    def cut(self) -> None:
+        """It will never be whole, and the client must be able to tell."""
+
+
 class Attempt:
     """One send of a request that has had no outcome yet."""
 
-    __slots__ = ("exchange", "host", "number", "sent_at", "taken", "timer")
+    __slots__ = ("begun_at", "exchange", "host", "number", "sent_at", "taken", "timer")
 
     def __init__(self, host: Host, taken: Taken, sent_at: float) -> None:
         self.host = host
         self.taken = taken
         self.number = taken.sent
         self.sent_at = sent_at
+        self.begun_at = 0.0  # of a long answer
         self.exchange: Exchange | None = None
         self.timer: Timer | None = None
 
     def done(self, status: api.Status, value: bytes) -> None:
         self.host.finish(self.taken, self, status, value)
 
+    def begin(self, length: int, source: Exchange) -> bool:
+        return self.host.begin(self.taken, self, length, source)
+
+    def piece(self, data: bytes) -> None:
+        if not self.taken.closed:
+            self.taken.reply.piece(data)
+
 
 class Taken:
     """A request, kept until nothing is owed for it and nothing of it is out."""
 
-    __slots__ = ("answer", "attempts", "closed", "command", "deadline", "expiry", "name", "overdue", "sent")
-
-    def __init__(self, name: str, command: Command, deadline: float, answer: Callable[[bytes], None]) -> None:
+    __slots__ = (
+        "attempts",
+        "closed",
+        "command",
+        "deadline",
+        "expiry",
+        "name",
+        "overdue",
+        "reply",
+        "sent",
+        "streaming",
+    )
+
+    def __init__(self, name: str, command: Command, deadline: float, reply: Reply) -> None:
         self.name = name
         self.command = command
         self.deadline = deadline
-        self.answer = answer
+        self.reply = reply
         self.expiry: Timer | None = None
         self.sent = 0  # attempts, whatever became of them
         self.closed = False  # answered, or its client is gone
         self.overdue = False
+        self.streaming: Attempt | None = None  # whose answer is passed on as it comes
         self.attempts: dict[int, Attempt] = {}
 
 
@@ -225,8 +265,8 @@
         pause = self.router.turn_away(now, request_class, tenant, repeated, keyed, time_left, waited)
         return None if pause is None else busy(pause)
 
-    def take(self, command: Command, answer: Callable[[bytes], None], waited: float = 0.0) -> None:
-        """Take a request that is owed one `answer`, or say why it can't be taken.
+    def take(self, command: Command, reply: Reply, waited: float = 0.0) -> None:
+        """Take a request that is owed one answer to `reply`, or say why it can't be taken.
 
         It has lain in its socket for `waited` seconds, which are of the time its client waits.
         """
@@ -242,7 +282,7 @@
         if request_class.effect is api.Effect.KEYED and not command.info.get("k"):
             raise CommandError("k is missing")
         time_left = max(0.0, command.deadline_ms / 1000 - DEADLINE_MARGIN - waited)
-        taken = self.requests[name] = Taken(name, command, self.clock.now() + time_left, answer)
+        taken = self.requests[name] = Taken(name, command, self.clock.now() + time_left, reply)
         taken.expiry = self.timers.after(time_left, self._overdue, name)
         hint = command.info.get("h", "")
         request = api.Request(
@@ -276,7 +316,11 @@
         taken = self.requests.get(name)
         if taken is not None and not taken.closed:
             self._settle(taken, name)
-            taken.answer(answer)
+            if taken.streaming is None:
+                taken.reply.fill(answer)
+            else:
+                # guards the client: in the midst of a value an answer would be taken for part of it
+                taken.reply.cut()
 
     def _settle(self, taken: Taken, name: str) -> None:
         """Nothing is owed any more; kept only for what is still out."""
@@ -320,9 +364,20 @@
             time_left = action.timeout
             attempt.timer = self.timers.after(time_left, self._time_out, attempt)
         attempt.exchange = self._pool(member).start(
-            member.address, taken.command, time_left, attempt.done, member.process
+            member.address, taken.command, time_left, attempt.done, member.process, attempt
         )
 
+    def begin(self, taken: Taken, attempt: Attempt, length: int, source: Exchange) -> bool:
+        """A long answer begins to come; the first of a request's is passed on, any other is not wanted."""
+        if taken.closed or taken.streaming is not None:
+            self.finish(taken, attempt, api.Status.CANCELLED)
+            return False
+        attempt.begun_at = self.clock.now()
+        taken.streaming = attempt
+        taken.reply.begin(length, source)
+        self.post(api.Streaming(taken.name, attempt.number))
+        return True
+
     def _cancel(self, action: api.Cancel) -> None:
         taken = self.requests.get(action.request)
         attempt = taken.attempts.get(action.attempt) if taken is not None else None
@@ -345,9 +400,15 @@
             attempt.timer.cancel()
         attempt.exchange = None  # guards memory: each would hold the other until the collector comes
         name = taken.name
-        if status is api.Status.OK:
+        if taken.streaming is attempt:
+            if not taken.closed:
+                self._settle(taken, name)
+                (taken.reply.end if status is api.Status.OK else taken.reply.cut)()
+        elif status is api.Status.OK:
             self._close(name, b"$%d\r\n%b\r\n" % (len(value), value))
         self.over.append(name)
         # guards against a core that is full: the wait for it would count as the server's, and cut its limit
-        latency = max(0.0, self.clock.now() - attempt.sent_at - self.turns.waited())
+        # and a client that takes a long answer slowly, in the same way
+        ended_at = attempt.begun_at or self.clock.now()
+        latency = max(0.0, ended_at - attempt.sent_at - self.turns.waited())
         self.post(api.Outcome(name, attempt.number, status, taken.closed, latency))
--- a/brackenwalk/net/http.py
+++ b/brackenwalk/net/http.py
@@ -12,6 +12,7 @@
 HEAD = re.compile(rb"HTTP/1\.1 ([1-5][0-9]{2})(?: [ -~]*)?\r\n((?:[!#-'*+.0-9A-Z^-z|~-]+:[\t -~]*\r\n)*)\r\n")
 VALUE = re.compile(rb"[!-~]+(?: [!-~]+)*")
 FRAMING = (b"transfer-encoding", b"connection", b"upgrade")
+KEPT = (b"connection", b"keep-alive")
 BODILESS = (204, 304)
 REPORT = re.compile(rb"\r\nserver-load:.*?(?=\r\n)", re.IGNORECASE | re.DOTALL)
 
@@ -30,69 +31,78 @@
 
 
 class HttpClient:
-    """The client's side of one connection."""
+    """The client's side of one connection.
 
-    def __init__(self, address: str, max_body: int) -> None:
+    A body said to be longer than `max_body` bytes is not gathered: up to `max_passed` its `pieces` are handed
+    out as they come, and the response ends with an empty body. What is longer still is refused at its head.
+    """
+
+    def __init__(self, address: str, max_body: int, max_passed: int = 0) -> None:
         self.address = address
         self.max_body = max_body
+        self.max_passed = max_passed
         self.connection = h11.Connection(h11.CLIENT)
-        self.asked: list[
-            h11.Event
-        ] = []  # what the connection has not been told of, and need not if all is short
-        self.short = False  # the last response was read the short way
+        # what the state machine has not been told of, and need not if all that comes is plain
+        self.asked: tuple[str, str, list[tuple[bytes, bytes]], bytes | None] | None = None
+        self.plain: Response | None = None  # the head of a response that is read without it
+        self.left = 0  # bytes of its body that are still to come
+        self.extra = False  # whether more came than that
         self.unread = bytearray()  # the beginning of a head
         self.heads = True  # whether one is still to come
         self.head: h11.Response | None = None
         self.body = bytearray()
+        self.passing = 0  # the length of a body that is handed out
+        self.pieces: list[bytes] = []
 
     def request(
         self, method: str, target: str, headers: list[tuple[bytes, bytes]], body: bytes | None = None
     ) -> bytes:
         """The bytes of a request."""
-        self.short = False
+        self.plain = self.head = None
         self.heads = True
-        self.head = None
+        self.extra = False
         self.unread.clear()
         self.body.clear()
+        self.passing = 0
+        self.pieces.clear()
         fields = [(b"Host", self.address.encode()), *headers]
         if body is not None:
             fields.append((b"Content-Length", str(len(body)).encode()))
-        events: list[h11.Event] = [h11.Request(method=method, target=target, headers=fields)]
-        if body:
-            events.append(h11.Data(data=body))
-        events.append(h11.EndOfMessage())
-        self.asked = events
-        if method != "GET" or not all(VALUE.fullmatch(value) for _, value in fields):
+        self.asked = (method, target, fields, body)
+        if not all(VALUE.fullmatch(value) for _, value in fields):
             return self._tell()
-        head = [f"GET {target} HTTP/1.1\r\n".encode()]
+        head = [f"{method} {target} HTTP/1.1\r\n".encode()]
         head += [b"%b: %b\r\n" % field for field in fields]
-        return b"".join([*head, b"\r\n"])
+        return b"".join([*head, b"\r\n", body or b""])
 
     def _tell(self) -> bytes:
         """Tell the state machine what was asked; answers with the request's bytes."""
-        events, self.asked = self.asked, []
-        if events and self.connection.our_state is not h11.IDLE:
+        if self.asked is None:
+            return b""
+        (method, target, fields, body), self.asked = self.asked, None
+        if self.connection.our_state is not h11.IDLE:
             self.connection = h11.Connection(h11.CLIENT)
+        events: list[h11.Event] = [h11.Request(method=method, target=target, headers=fields)]
+        if body:
+            events.append(h11.Data(data=body))
+        events.append(h11.EndOfMessage())
         return b"".join(self.connection.send(e) or b"" for e in events)
 
-    def _short(self, data: bytes) -> Response | None:
-        """A response that is whole and of the plainest form, else None: then the state machine reads it."""
+    def _plain_head(self, data: bytes) -> tuple[Response, int, int] | None:
+        """A whole head of the plainest form, its body's length and where that begins, else None."""
         if (head := HEAD.match(data)) is None:
             return None
         headers: dict[bytes, bytes] = {}
         for line in head[2].split(b"\r\n")[:-1]:
             name, _, value = line.partition(b":")
-            name = name.lower()
-            if name in headers or name in FRAMING:
+            name, value = name.lower(), value.strip()
+            if name in headers or (name in FRAMING and (name, value.lower()) != KEPT):
                 return None
-            headers[name] = value.strip()
+            headers[name] = value
         length = headers.get(b"content-length", b"")
         if not length.isdigit() or len(length) > 9 or (status := int(head[1])) < 200 or status in BODILESS:
             return None
-        body = data[head.end() :]
-        if int(length) != len(body) or len(body) > self.max_body:
-            return None
-        return Response(status, headers, body)
+        return Response(status, headers, b""), int(length), head.end()
 
     def _cleaned(self, data: bytes) -> bytes:
         """Heads once they are whole, without the load report, and what follows them.
@@ -115,12 +125,56 @@
 
     def receive(self, data: bytes) -> Response | None:
         """Take bytes, none at the connection's end, and answer with the response once it is whole."""
-        if self.asked:
-            if (response := self._short(data)) is not None:
-                self.short = True
-                return response
+        if self.plain is not None:
+            return self._plain_body(data)
+        if self.asked is None:
+            return self._by_state(data)
+        self.unread += data
+        if data and b"\r\n\r\n" not in self.unread and len(self.unread) <= MAX_HEAD:
+            if not b"HTTP/1.1 "[: len(self.unread)] == self.unread[:9]:
+                raise HttpError(f"no head: {bytes(self.unread[:40])!r}")
+            return None
+        data = bytes(self.unread)
+        self.unread.clear()
+        if (found := self._plain_head(data)) is None:
             self._tell()
-        return self._by_state(data)
+            return self._by_state(data)
+        self.asked = None
+        self.plain, self.left, start = found
+        self._begin_body(self.plain.status, self.left)
+        return self._plain_body(data[start:])
+
+    def _plain_body(self, data: bytes) -> Response | None:
+        assert self.plain is not None
+        if not data and self.left:
+            if self.heads:  # the head came alone
+                self.heads = False
+                return None
+            raise HttpError("ended within its body")
+        self.heads = False
+        self.extra = len(data) > self.left
+        part = data[: self.left]
+        self.left -= len(part)
+        self._take_body(part)
+        if self.left:
+            return None
+        return Response(self.plain.status, self.plain.headers, bytes(self.body))
+
+    def _begin_body(self, status: int, length: int) -> None:
+        if length <= self.max_body:
+            return
+        # guards memory: a body said to be too long is refused before it comes
+        if status != 200 or length > self.max_passed:
+            raise HttpError(f"body of {length} bytes")
+        self.passing = length
+
+    def _take_body(self, data: bytes) -> None:
+        if self.passing:
+            self.pieces.append(data)
+            return
+        self.body += data
+        if len(self.body) > self.max_body:
+            raise HttpError(f"body of over {self.max_body} bytes")
 
     def _by_state(self, data: bytes) -> Response | None:
         try:
@@ -134,13 +188,10 @@
                     return None
                 if isinstance(event, h11.Response):
                     self.head = event
-                    # guards memory: a body said to be too long is refused before it comes
-                    if int(dict(event.headers).get(b"content-length", b"0")) > self.max_body:
-                        raise HttpError(f"body of over {self.max_body} bytes")
+                    headers = dict(event.headers)
+                    self._begin_body(event.status_code, int(headers.get(b"content-length", b"0")))
                 elif isinstance(event, h11.Data):
-                    self.body += event.data
-                    if len(self.body) > self.max_body:
-                        raise HttpError(f"body of over {self.max_body} bytes")
+                    self._take_body(bytes(event.data))
                 elif isinstance(event, h11.EndOfMessage) and self.head is not None:
                     return Response(self.head.status_code, dict(self.head.headers), bytes(self.body))
                 elif not isinstance(event, h11.InformationalResponse):
@@ -150,7 +201,7 @@
 
     def reusable(self) -> bool:
         """Whether another request may follow."""
-        if self.short:
-            return True
+        if self.plain is not None:
+            return not self.extra and not self.left
         ended = self.connection.our_state is self.connection.their_state is h11.DONE
         return ended and not self.connection.trailing_data[0]
--- a/brackenwalk/net/origin.py
+++ b/brackenwalk/net/origin.py
@@ -19,7 +19,7 @@
 
     def __init__(self, pool: Pool, address: str) -> None:
         super().__init__(pool, address)
-        self.client = HttpClient(address, MAX_VALUE)
+        self.client = HttpClient(address, MAX_VALUE, pool.max_passed)
 
     def encode(self, command: Command, time_left: float) -> bytes:
         # guards against a key that spells another path or a query: all but unreserved letters is escaped
@@ -32,6 +32,10 @@
             response = self.client.receive(data)
         except HttpError as e:
             raise MalformedAnswer(str(e)) from e
+        if self.client.passing:
+            self.length = self.client.passing
+            self.pieces += self.client.pieces
+            self.client.pieces.clear()
         if response is None:
             return None
         if response.status == 200:
--- a/brackenwalk/net/pool.py
+++ b/brackenwalk/net/pool.py
@@ -9,7 +9,7 @@
 import time
 from abc import abstractmethod
 from collections.abc import Callable
-from typing import cast
+from typing import Protocol, cast
 
 from brackenwalk.interface import Status
 from brackenwalk.net.command import Command
@@ -18,6 +18,9 @@
 
 IDLE_MARGIN = 0.5  # seconds before the peer may close an idle connection at which it is no longer used
 ANSWER_TIME = 0.1  # seconds for the rest of an answer once it has begun: it is sent in one go
+CHUNK = 64 * 1024  # bytes read at once: what a client that takes none makes a long answer hold
+HELD_BACK = 64 * 1024  # bytes of a long answer that must have come before any is passed on
+MAX_PASSED = 1024 * 1024  # bytes of a long answer, unless the configuration tells
 log = logging.getLogger(__name__)
 bounded = BoundedLog(log)
 
@@ -41,18 +44,45 @@
     return bool(poll.poll(0))
 
 
+class Receiver(Protocol):
+    """Takes a long answer piece by piece, in place of its value at the end."""
+
+    def begin(self, length: int, source: Exchange) -> bool:
+        """A value of so many bytes begins; False when it is not wanted any more."""
+
+    def piece(self, data: bytes) -> None:
+        """The next bytes of it."""
+
+
 class Exchange:
     """One attempt: it ends once, by `done` or by being abandoned."""
 
-    __slots__ = ("command", "connection", "done", "open", "time_left")
+    __slots__ = ("command", "connection", "done", "open", "receiver", "time_left")
 
-    def __init__(self, command: Command, time_left: float, done: Callable[[Status, bytes], None]) -> None:
+    def __init__(
+        self,
+        command: Command,
+        time_left: float,
+        done: Callable[[Status, bytes], None],
+        receiver: Receiver | None = None,
+    ) -> None:
         self.command = command
         self.time_left = time_left
         self.done = done
+        self.receiver = receiver
         self.open = True
         self.connection: Connection | None = None
 
+    def pause(self) -> None:
+        """Read no more of the answer for now: nobody takes it."""
+        if self.open and self.connection is not None:
+            self.connection.pause()
+
+    def resume(self) -> None:
+        """Read on."""
+        if self.open and self.connection is not None:
+            self.connection.resume()
+
     def finish(self, status: Status, value: bytes = b"") -> None:
         if self.open:
             self.open = False
@@ -70,7 +100,11 @@
             self.connection.drop()
 
 
-class Connection(asyncio.Protocol):
+# all connections read into one place: what came is taken out before the next one reads
+arrivals = memoryview(bytearray(CHUNK))
+
+
+class Connection(asyncio.BufferedProtocol):
     """A connection to one address."""
 
     def __init__(self, pool: Pool, address: str) -> None:
@@ -83,6 +117,11 @@
         self.made = False
         self.expiry: asyncio.TimerHandle | None = None  # of an answer begun
         self.idle_since = 0.0
+        self.length = 0  # of a long value that has begun; its decoder sets it and fills `pieces`
+        self.pieces: list[bytes] = []
+        self.passing = False  # whether the client has had the first of them
+        self.moved = False  # whether any of it has come since the expiry was looked at
+        self.paused = False
 
     @abstractmethod
     def encode(self, command: Command, time_left: float) -> bytes:
@@ -90,7 +129,10 @@
 
     @abstractmethod
     def decode(self, data: bytes) -> Answer | None:
-        """Take bytes of the answer; None until it is whole."""
+        """Take bytes of the answer; None until it is whole.
+
+        A value longer than is gathered sets `length` and comes in `pieces`; its answer is then empty.
+        """
 
     @abstractmethod
     def reusable(self) -> bool:
@@ -131,6 +173,61 @@
     def resume_writing(self) -> None:
         self.written = True
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return arrivals
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.data_received(bytes(arrivals[:nbytes]))
+
+    def pause(self) -> None:
+        """Leave the rest of a long answer where it is; the server's own connection slows it down."""
+        if not self.paused and not self.transport.is_closing():
+            self.paused = True
+            self.stop_expiry()
+            self.transport.pause_reading()
+
+    def resume(self) -> None:
+        if self.paused and not self.transport.is_closing():
+            self.paused = False
+            self.transport.resume_reading()
+            if self.exchange is not None:
+                self._expect_more(self.exchange)
+
+    def _pass_on(self, exchange: Exchange) -> bool:
+        """Hand on what has come of a long value; False when that is the end of it.
+
+        Nothing before a good part is there: a length that lies would cost the client's connection, and what
+        has not begun can still be asked of another server.
+        """
+        receiver = exchange.receiver
+        if not self.passing:
+            if sum(map(len, self.pieces)) < HELD_BACK:
+                return True
+            if receiver is None:
+                raise MalformedAnswer(f"value of {self.length} bytes")
+            self.passing = receiver.begin(self.length, exchange)
+            if not self.passing:
+                exchange.abandon()
+        pieces, self.pieces = self.pieces, []
+        for piece in pieces:
+            if receiver is not None and exchange.open:
+                receiver.piece(piece)
+        return exchange.open
+
+    def _expect_more(self, exchange: Exchange) -> None:
+        """Guards the request: an answer said to be longer than it is never ends."""
+        self.moved = True
+        if self.expiry is None and not self.paused:
+            self.expiry = asyncio.get_running_loop().call_later(ANSWER_TIME, self._expire, exchange)
+
+    def _expire(self, exchange: Exchange) -> None:
+        self.expiry = None
+        if self.length and self.moved:
+            self._expect_more(exchange)
+            self.moved = False
+        else:
+            self._spoilt(exchange, MalformedAnswer("begun and not ended"))
+
     def data_received(self, data: bytes) -> None:
         exchange = self.exchange
         if exchange is None:  # bytes that nobody asked for: the next answer could not be told from them
@@ -138,19 +235,20 @@
             return
         try:
             answer = self.decode(data)
+            if self.length and not self._pass_on(exchange):
+                return
         except Exception as e:
             # guards the router: whatever a server sends costs its connection and no more
             self._spoilt(exchange, e)
             return
         if answer is None:
-            if self.expiry is None:
-                loop = asyncio.get_running_loop()
-                stalled = MalformedAnswer("begun and not ended")
-                # guards the request: an answer said to be longer than it is never ends
-                self.expiry = loop.call_later(ANSWER_TIME, self._spoilt, exchange, stalled)
+            self._expect_more(exchange)
         else:
+            self.resume()
             self.stop_expiry()
             self.exchange = None
+            self.length = 0
+            self.passing = False
             if self.written and self.reusable() and not self.transport.is_closing():
                 self.pool.keep(self)
             else:
@@ -186,9 +284,15 @@
     """The connections to servers that speak one protocol."""
 
     def __init__(
-        self, make: Callable[[Pool, str], Connection], budget: int, dial_timeout: float, idle: float
+        self,
+        make: Callable[[Pool, str], Connection],
+        budget: int,
+        dial_timeout: float,
+        idle: float,
+        max_passed: int = MAX_PASSED,
     ) -> None:
         self.make = make
+        self.max_passed = max_passed  # bytes of a long answer
         self.budget = budget  # of descriptors
         self.dial_timeout = dial_timeout
         self.idle_time = max(0.0, idle - IDLE_MARGIN)
@@ -206,9 +310,13 @@
         time_left: float,
         done: Callable[[Status, bytes], None],
         process: object = None,
+        receiver: Receiver | None = None,
     ) -> Exchange:
-        """Start an attempt on the process that is at an address now."""
-        exchange = Exchange(command, time_left, done)
+        """Start an attempt on the process that is at an address now.
+
+        A long answer goes to the receiver; without one it is spoilt.
+        """
+        exchange = Exchange(command, time_left, done, receiver)
         kept = self._take(address, process)
         if kept is not None:
             kept.begin(exchange)
--- a/brackenwalk/net/servers.py
+++ b/brackenwalk/net/servers.py
@@ -11,6 +11,8 @@
 
 MAX_ITEMS = 16  # of an answer's three and of whatever stands in a load report's place
 MAX_ANSWER = MAX_VALUE + 8192  # the value and what stands round it
+LONG = re.compile(rb"\*3\r\n\$([0-9]{5,9})\r\n")
+BEFORE_TAIL = b"*3\r\n$0\r\n"  # with what stands behind a value, an answer that the reader checks
 HIT = re.compile(rb"\*3\r\n\$([0-9]{1,5})\r\n")
 AFTER_HIT = b"\r\n$3\r\nhit\r\n$-1\r\n"
 MISS = b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n"
@@ -22,6 +24,8 @@
     def __init__(self, pool: Pool, address: str) -> None:
         super().__init__(pool, address)
         self.reader = Reader(MAX_ITEMS, MAX_VALUE, MAX_ANSWER)
+        self.left = 0  # bytes of a long value that are still to come
+        self.last = b""  # the last of those that have
 
     def encode(self, command: Command, time_left: float) -> bytes:
         parts = [command.verb, command.key, command.request, command.info_for(time_left)]
@@ -30,6 +34,38 @@
         return pack(parts)
 
     def decode(self, data: bytes) -> Answer | None:
+        if self.length:
+            return self._long(data)
+        if not self.reader.buffer and (head := LONG.match(data)) is not None:
+            length = int(head[1])
+            if MAX_VALUE < length <= self.pool.max_passed:
+                self.length = self.left = length
+                return self._long(data[head.end() :])
+        return self._short(data)
+
+    def _long(self, data: bytes) -> Answer | None:
+        """A value too long to be gathered: pieces as they come, but its last byte only with what follows.
+
+        Guards the client: a length that does not fit is known before the value looks whole.
+        """
+        if self.left:
+            part, data = data[: self.left], data[self.left :]
+            self.left -= len(part)
+            if part:
+                self.pieces.append(self.last + part[:-1])
+                self.last = part[-1:]
+            if self.left:
+                return None
+            self.reader.feed(BEFORE_TAIL)
+        answer = self._short(data)
+        if answer is not None:
+            if answer[0] is not Status.OK:
+                raise MalformedAnswer("not the end of a value")
+            self.pieces.append(self.last)
+            self.last = b""
+        return answer
+
+    def _short(self, data: bytes) -> Answer | None:
         # nearly all answers are one of these, whole; the reader is as strict, and slower
         if not self.reader.buffer and (whole := HIT.match(data)) is not None:
             start, end = whole.end(), len(data) - len(AFTER_HIT)
--- a/brackenwalk/net/timers.py
+++ b/brackenwalk/net/timers.py
@@ -38,10 +38,14 @@
         self.order: list[int] = []  # a heap of the slots' numbers
         self.armed: asyncio.TimerHandle | None = None
         self.armed_for = 0
+        # asked for once: asyncio looks up the process's number each time, which took 4% of a full core
+        self.loop: asyncio.AbstractEventLoop | None = None
 
     def after(self, delay: float, callback: Callable[[Any], None], what: object) -> Timer:
         """Call back with `what` once `delay` seconds have passed."""
-        loop = asyncio.get_running_loop()
+        loop = self.loop
+        if loop is None:
+            loop = self.loop = asyncio.get_running_loop()
         number = math.ceil((loop.time() + delay) / SLOT)
         timer = Timer(callback, what)
         slot = self.slots.get(number)
@@ -61,7 +65,8 @@
         self.armed = loop.call_at(self.armed_for * SLOT, self._fire)
 
     def _fire(self) -> None:
-        loop = asyncio.get_running_loop()
+        assert self.loop is not None  # it was armed
+        loop = self.loop
         self.armed = None
         now = loop.time()
         try:
--- a/brackenwalk/net/turns.py
+++ b/brackenwalk/net/turns.py
@@ -17,13 +17,16 @@
         self.began = 0.0  # of the turn that runs
         self.before = 0.0  # seconds that the one before took
         self.running = False
+        self.loop: asyncio.AbstractEventLoop | None = None
 
     def note(self) -> None:
         """Something has come; to be called first."""
         if not self.running:
             self.running = True
             self.began = time.monotonic()
-            asyncio.get_running_loop().call_soon(self._end)
+            if self.loop is None:
+                self.loop = asyncio.get_running_loop()
+            self.loop.call_soon(self._end)
 
     def _end(self) -> None:
         self.running = False
--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -194,9 +194,18 @@
         elif isinstance(event, api.ClientGone) and event.request in self.held:
             self._forget(self.held[event.request])
         elif isinstance(event, api.Streaming) and event.request in self.held:
-            self.held[event.request].streaming = True
+            self._on_stream(self.held[event.request], event.attempt)
         return self.out
 
+    def _on_stream(self, held: Held, number: int) -> None:
+        """What has begun to flow is the answer: nothing else of the request is wanted any more."""
+        held.streaming = True
+        held.waiting = False
+        if self.settings.may_cancel:
+            for other, attempt in enumerate(held.attempts):
+                if attempt.open and other != number:
+                    self.out.append(api.Cancel(held.request.request, other))
+
     def _on_list(self, event: api.ServerList) -> None:
         if event.kind is api.ListKind.FAILED:
             self._ask_list_later()
