--- a/bench/rig.py
+++ b/bench/rig.py
@@ -19,18 +19,27 @@
 from typing import Any
 
 ROOT = Path(__file__).resolve().parent.parent
-VALUE = b"v" * 64
-HIT = b"*3\r\n$%d\r\n%b\r\n$3\r\nhit\r\n$-1\r\n" % (len(VALUE), VALUE)
-SERVED = b"$%d\r\n%b\r\n" % (len(VALUE), VALUE)
+VALUE = 64  # bytes of a value, unless told
 START_TIME = 20.0  # seconds for a process to listen
 STARTED = "bench.rig"
 
 
+def hit(size: int) -> bytes:
+    """A cache server's answer with a value of so many bytes."""
+    return b"*3\r\n$%d\r\n%b\r\n$3\r\nhit\r\n$-1\r\n" % (size, b"v" * size)
+
+
+def served(size: int) -> bytes:
+    """What a router's client gets for it."""
+    return b"$%d\r\n%b\r\n" % (size, b"v" * size)
+
+
 class Lines(asyncio.Protocol):
     """A cache server that hits: one fixed answer for each command of eight or nine lines."""
 
-    def __init__(self, delay: float = 0.0) -> None:
+    def __init__(self, delay: float, answer: bytes) -> None:
         self.delay = delay
+        self.answer = answer
         self.rest = b""
 
     def connection_made(self, transport: Any) -> None:
@@ -47,7 +56,7 @@
 
     def _answer(self) -> None:
         if not self.transport.is_closing():
-            self.transport.write(HIT)
+            self.transport.write(self.answer)
 
 
 class Leg(asyncio.Protocol):
@@ -110,11 +119,11 @@
 
 
 @contextlib.contextmanager
-def stand_in(kind: str, cores: set[int], *arguments: str) -> Iterator[int]:
-    """The port of a stand-in (`cache DELAY`, or `relay PORT`)."""
+def stand_in(kind: str, cores: set[int], *arguments: str) -> Iterator[tuple[int, subprocess.Popen[str]]]:
+    """The port and process of a stand-in (`cache [DELAY [VALUE_BYTES]]`, or `relay PORT`)."""
     with process([sys.executable, "-m", STARTED, kind, *arguments], cores) as child:
         assert child.stdout is not None
-        yield int(child.stdout.readline())
+        yield int(child.stdout.readline()), child
 
 
 def configuration(caches: list[int], sockets: int, cores: float) -> dict[str, Any]:
@@ -181,7 +190,8 @@
     kind, *arguments = sys.argv[1:]
     if kind == "cache":
         delay = float(arguments[0]) if arguments else 0.0
-        asyncio.run(serve(lambda: Lines(delay)))
+        answer = hit(int(arguments[1]) if len(arguments) > 1 else VALUE)
+        asyncio.run(serve(lambda: Lines(delay, answer)))
     else:
         upstream = ("127.0.0.1", int(arguments[0]))
         asyncio.run(serve(lambda: Leg(upstream)))
--- a/bench/router_rate.py
+++ b/bench/router_rate.py
@@ -24,6 +24,7 @@
 from bench import rig
 
 MEASURED, CACHES, CLIENTS = {0}, ({1}, {2}), ({3}, {4})
+RELAY = "bare relay"
 WARM_UP = 1.0  # seconds before the count begins
 
 
@@ -119,32 +120,56 @@
         metavar="COMMAND",
         help="a router to measure; again for further ones (default: this checkout's, plain and as deployed)",
     )
+    parser.add_argument(
+        "--value",
+        action="append",
+        type=int,
+        metavar="BYTES",
+        help="of an answer; again for further ones (default 64)",
+    )
     parser.add_argument("--json", metavar="FILE", help="write the figures there too")
     options = parser.parse_args()
     python = shlex.quote(sys.executable)
     commands = options.router or [f"{python} -B -m brackenwalk", f"{python} -B deploy/start.py"]
-    rates: dict[str, list[float]] = {"bare relay": []} | {c: [] for c in commands}
-    busy: dict[str, list[float]] = {c: [] for c in commands}
+    print(
+        f"{'value':>8} {'requests/s':>11} {'MB/s':>8} {'of the relay':>13} "
+        f"{'core used':>10} {'core us each':>13}  what"
+    )
+    figures: dict[str, Any] = {}
+    for size in options.value or [rig.VALUE]:
+        figures[str(size)] = measure(size, commands, options)
+    if options.json:
+        Path(options.json).write_text(json.dumps(figures, indent=1) + "\n")
+
+
+def measure(size: int, commands: list[str], options: argparse.Namespace) -> dict[str, Any]:
+    """Count the relay and each router in turn with values of so many bytes, and print a line for each."""
+    rates: dict[str, list[float]] = {c: [] for c in (RELAY, *commands)}
+    busy: dict[str, list[float]] = {c: [] for c in rates}
+    counted = (options.connections, options.seconds)
+
+    def count(name: str, port: int, child: int, answer: bytes) -> None:
+        before, began = cpu_of(child), time.perf_counter()
+        rates[name].append(rate(port, *counted, len(answer)))
+        busy[name].append((cpu_of(child) - before) / (time.perf_counter() - began))
+
     with contextlib.ExitStack() as stack:
-        caches = [stack.enter_context(rig.stand_in("cache", c)) for c in CACHES]
+        caches = [stack.enter_context(rig.stand_in("cache", c, "0", str(size)))[0] for c in CACHES]
         for _ in range(options.rounds):
-            with rig.stand_in("relay", MEASURED, str(caches[0])) as port:
-                got = rate(port, options.connections, options.seconds, len(rig.HIT))
-                rates["bare relay"].append(got)
+            with rig.stand_in("relay", MEASURED, str(caches[0])) as (port, child):
+                count(RELAY, port, child.pid, rig.hit(size))
             for command in commands:
                 with rig.router(shlex.split(command), caches, MEASURED) as (port, child):
-                    before, began = cpu_of(child.pid), time.perf_counter()
-                    got = rate(port, options.connections, options.seconds, len(rig.SERVED))
-                    rates[command].append(got)
-                    busy[command].append((cpu_of(child.pid) - before) / (time.perf_counter() - began))
-    relay = statistics.median(rates["bare relay"])
-    print(f"{'requests/s':>12} {'us each':>8} {'of the relay':>13} {'core used':>10}  what")
+                    count(command, port, child.pid, rig.served(size))
+    relay = statistics.median(rates[RELAY])
     for name, found in rates.items():
-        middle = statistics.median(found)
-        used = f"{statistics.median(busy[name]):.2f}" if name in busy else ""
-        print(f"{middle:12.0f} {1e6 / middle:8.1f} {middle / relay:13.2f} {used:>10}  {name}")
-    if options.json:
-        Path(options.json).write_text(json.dumps({"rates": rates, "core": busy}, indent=1) + "\n")
+        middle, used = statistics.median(found), statistics.median(busy[name])
+        print(
+            f"{size:8} {middle:11.0f} {middle * size / 1e6:8.1f} {middle / relay:13.2f} "
+            f"{used:10.2f} {used / middle * 1e6:13.1f}  {name}",
+            flush=True,
+        )
+    return {"rates": rates, "core": busy}
 
 
 if __name__ == "__main__":
--- a/brackenwalk/__main__.py
+++ b/brackenwalk/__main__.py
@@ -16,10 +16,11 @@
 
 from brackenwalk import interface as api
 from brackenwalk import policy
-from brackenwalk.net.clients import Listener
 from brackenwalk.net.command import MAX_VALUE
+from brackenwalk.net.descriptors import Descriptors
 from brackenwalk.net.discovery import Discovery, ListError, read_list
 from brackenwalk.net.host import Host, Member
+from brackenwalk.net.listener import Listener
 from brackenwalk.net.origin import OriginConnection
 from brackenwalk.net.pool import MAX_PASSED, Pool, address_of
 from brackenwalk.net.servers import CacheConnection
@@ -102,8 +103,10 @@
     settings = config.settings
     room = config.sockets - RESERVE
     dial, idle = settings.dial_timeout, settings.connection_idle
-    servers = Pool(CacheConnection, room * 3 // 8, dial, idle, config.longest_answer)
-    origin = Pool(OriginConnection, room // 8, dial, idle, config.longest_answer)
+    descriptors = Descriptors(room)
+    longest = config.longest_answer
+    servers = Pool(CacheConnection, room * 3 // 8, dial, idle, longest, descriptors)
+    origin = Pool(OriginConnection, room // 8, dial, idle, longest, descriptors)
 
     def subscribe() -> None:
         discovery.subscribe()
@@ -117,7 +120,7 @@
     host.list_told(api.ListKind.SAVED, config.known)
     if not settings.subscribe:
         discovery.subscribe()  # the module does not ask for what is pushed; it comes by the same calls
-    listener = Listener(host, room // 2)
+    listener = Listener(host, room // 2, descriptors)
 
     def reload() -> None:
         """Take a new address of discovery; nothing else of a configuration changes while a router runs."""
--- a/brackenwalk/net/clients.py
+++ b/brackenwalk/net/clients.py
@@ -1,4 +1,4 @@
-"""The listener and the connections of clients, which speak RESP2."""
+"""The connections of clients, which speak RESP2."""
 
 from __future__ import annotations
 
@@ -7,37 +7,26 @@
 import socket
 import sys
 from collections import deque
-from contextlib import suppress
-from itertools import chain, islice
-from typing import cast
+from typing import TYPE_CHECKING, cast
 
 from brackenwalk.net.command import MAX_INFO, MAX_KEY, MAX_VALUE, CommandError, read_command
+from brackenwalk.net.connection import Exchange, readable
 from brackenwalk.net.host import Host
-from brackenwalk.net.logs import BoundedLog
-from brackenwalk.net.pool import Exchange, readable
 from brackenwalk.net.resp import NOT_YET, Message, Reader, RespError, split_command
 from brackenwalk.net.transport import Transport
 
+if TYPE_CHECKING:
+    from brackenwalk.net.listener import Listener
+
 MAX_COMMAND = MAX_VALUE + MAX_KEY + MAX_INFO + 4096  # bytes held for a command that is not whole
 MAX_PARTS = 16
 MAX_PIPELINED = 32  # commands of one connection that wait for their answers
 MAX_SHORT = 4096  # bytes of what is read the short way
-BACKLOG = 512
-LOOKS = 16  # connections looked at for one that may go, in each place where they are found
-ACCEPTS = 32  # connections taken in at most in a turn of the event loop, so that those already up have theirs
 LONG_TURN = 0.005  # seconds; after a longer one it is looked up how long commands have lain in their sockets
-ACCEPT_PAUSE = 0.1  # after a failed accept, so that running out of descriptors does not spin
-COMMAND_TIME = 2.0  # seconds for a whole command to come; a client is owed a word within 3 s
-IDLE_TIME = 2.0  # seconds after which an idle connection may be closed
-ONCE_TIME = 0.1  # the same for one that has asked once only, while there are many
-GRACE = 0.05  # seconds that a new client has to send its first command, however crowded it is
-SWEEP = 0.1  # seconds between looks for connections that are overdue
 LINGER = 0.5  # seconds for a closing connection to take its last answer
-MAX_HOLDING = 200  # long answers whose clients take them slowly, each with two chunks of 64 KiB at most
 ERROR_PAUSE = 0.1  # seconds for which a connection is not read after an error
 LAST_DATA_RECEIVED = 52  # the offset in tcp_info of a 32-bit number of milliseconds
 log = logging.getLogger(__name__)
-bounded = BoundedLog(log)
 
 
 def data_age(client: socket.socket) -> float:
@@ -279,165 +268,3 @@
             if slot.answer is None and slot.request is not None:
                 self.host.client_gone(slot.request)
         self.slots.clear()
-
-
-class Listener:
-    """Accepts clients, within a budget of descriptors."""
-
-    def __init__(self, host: Host, budget: int) -> None:
-        self.host = host
-        self.budget = budget
-        self.connections: dict[ClientConnection, None] = {}
-        self.coming: set[asyncio.Task[None]] = set()  # accepted, and not yet among those
-        self.holding: dict[Slot, None] = {}  # long answers that their clients don't take, longest first
-        self.erring: dict[ClientConnection, None] = {}  # that are not read, having sent an error
-        # connections on which nothing is owed, each since when, longest first
-        self.awaited: dict[ClientConnection, float] = {}  # a first command, or the rest of one
-        self.idle: dict[ClientConnection, float] = {}
-        self.waiting = asyncio.Event()  # clients, to be accepted
-        self.changed = asyncio.Event()  # a connection has ended or fallen idle
-        self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        self.tasks: list[asyncio.Task[None]] = []
-        self.loop: asyncio.AbstractEventLoop  # from the start on
-
-    def start(self, address: tuple[str, int]) -> None:
-        """Listen and accept."""
-        self.loop = asyncio.get_running_loop()
-        self.socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.socket.setblocking(False)
-        self.socket.bind(address)
-        self.socket.listen(BACKLOG)
-        self.tasks = [asyncio.create_task(self._accept()), asyncio.create_task(self._sweep())]
-
-    async def _accept(self) -> None:
-        """Take in all that wait, a few in each turn of the loop.
-
-        One a turn left clients in the backlog while turns grew long, until they had gone away: what was read
-        from them then was spent for nobody, and each came again on a new connection.
-        """
-        loop = asyncio.get_running_loop()
-        while True:
-            # not looked at while there is no room, or the loop would spin on those that wait outside
-            self.waiting.clear()
-            loop.add_reader(self.socket.fileno(), self.waiting.set)
-            await self.waiting.wait()
-            loop.remove_reader(self.socket.fileno())
-            for _ in range(ACCEPTS):
-                try:
-                    client, _ = self.socket.accept()
-                except BlockingIOError:
-                    break
-                except OSError as e:
-                    bounded.log(logging.WARNING, "accept: %s", e)
-                    await asyncio.sleep(ACCEPT_PAUSE)
-                    break
-                client.setblocking(False)
-                task = loop.create_task(self._welcome(client))
-                self.coming.add(task)
-                task.add_done_callback(self.coming.discard)
-                await self._make_room()
-
-    async def _welcome(self, client: socket.socket) -> None:
-        try:
-            await asyncio.get_running_loop().connect_accepted_socket(
-                lambda: ClientConnection(self.host, self, client), client
-            )
-        except OSError as e:
-            bounded.log(logging.INFO, "a client's connection ended as it began: %s", e)
-
-    async def _make_room(self) -> None:
-        """Guards the descriptors: a client too many costs one that owes a command, or one that is idle.
-
-        One that has just sent an error goes first, whatever it has sent behind it, and one that asked once
-        and stays before one that asks again and again. While all have requests open, others wait outside.
-        """
-        while len(self.connections) + len(self.coming) > self.budget:
-            self.changed.clear()
-            now = asyncio.get_running_loop().time()
-            erring = (c for c in self.erring if not c.slots and not c.ending)
-            # a look at a few: to ask the kernel about each, for each that comes, took a tenth of a full core
-            late = (c for c, since in islice(self.awaited.items(), LOOKS) if now - since > GRACE)
-            once = (c for c in islice(self.idle, LOOKS) if c.commands == 1)
-            idle = islice(self.idle, LOOKS)
-            victim = next(erring, None)
-            if victim is None:
-                victim = next((c for c in chain(late, once, idle) if not c.unread()), None)
-            if victim is not None:
-                self._end(victim)
-                continue
-            with suppress(TimeoutError):
-                async with asyncio.timeout(GRACE):
-                    await self.changed.wait()
-
-    async def _sweep(self) -> None:
-        """Guards against clients that say nothing, or half a command, and those that stay for good."""
-        while True:
-            await asyncio.sleep(SWEEP)
-            now = asyncio.get_running_loop().time()
-            for connection, since in list(self.awaited.items()):
-                if now - since < COMMAND_TIME:
-                    break
-                if not connection.transport.is_closing():
-                    connection.end_with("-ERR no whole command came")
-            surplus = len(self.connections) - self.budget // 2
-            for connection, since in list(self.idle.items()):
-                if surplus <= 0:
-                    break
-                longest = IDLE_TIME if connection.commands > 1 else ONCE_TIME
-                if now - since > longest and not connection.unread():
-                    self._end(connection)
-                    surplus -= 1
-
-    def _end(self, connection: ClientConnection) -> None:
-        connection.transport.abort()
-        self.forget(connection)
-
-    def hold(self, slot: Slot) -> None:
-        """Guards memory: of too many clients that take nothing, the one that began first is ended."""
-        self.holding[slot] = None
-        if len(self.holding) > MAX_HOLDING:
-            next(iter(self.holding)).connection.transport.abort()
-
-    def note(self, connection: ClientConnection) -> None:
-        """Keep the books on a connection that may have begun to owe a command, or fallen idle."""
-        # guards the listener: one that has ended would stay in the books, without a socket to look at
-        if connection not in self.connections:
-            return
-        owing = bool(connection.slots) or connection.ending or connection.paused
-        if owing:
-            self.awaited.pop(connection, None)
-            self.idle.pop(connection, None)
-            return
-        books, others = self.idle, self.awaited
-        if connection.reader.buffer or not connection.commands:
-            books, others = others, books
-        others.pop(connection, None)
-        if connection not in books:
-            books[connection] = self.loop.time()
-            self.changed.set()
-
-    def forget(self, connection: ClientConnection) -> None:
-        """Note that a connection is closed."""
-        self.connections.pop(connection, None)
-        self.erring.pop(connection, None)
-        self.awaited.pop(connection, None)
-        self.idle.pop(connection, None)
-        self.changed.set()
-
-    async def stop(self, still_coming: float, longest: float) -> None:
-        """Accept for a while longer, then no more; end when nothing is owed to any client."""
-        await asyncio.sleep(still_coming)
-        for task in self.tasks:
-            task.cancel()
-        if self.socket.fileno() >= 0:  # else it has been stopped before
-            asyncio.get_running_loop().remove_reader(self.socket.fileno())
-        self.socket.close()
-        with suppress(TimeoutError):
-            async with asyncio.timeout(longest):
-                while self.connections:
-                    self.changed.clear()
-                    for connection in [*self.idle, *self.awaited]:
-                        # closed between requests: one that has begun to come in is waited for
-                        if not connection.reader.buffer and not connection.unread():
-                            connection.close()
-                    await self.changed.wait()
--- a/brackenwalk/net/host.py
+++ b/brackenwalk/net/host.py
@@ -15,7 +15,8 @@
 
 from brackenwalk import interface as api
 from brackenwalk.net.command import Command, CommandError
-from brackenwalk.net.pool import Exchange, Pool
+from brackenwalk.net.connection import Exchange
+from brackenwalk.net.pool import Pool
 from brackenwalk.net.timers import Timer, Timers
 from brackenwalk.net.turns import Turns
 from brackenwalk.policy import Router
--- a/brackenwalk/net/origin.py
+++ b/brackenwalk/net/origin.py
@@ -6,8 +6,9 @@
 
 from brackenwalk.interface import Status
 from brackenwalk.net.command import MAX_VALUE, Command
+from brackenwalk.net.connection import Answer, Connection, MalformedAnswer
 from brackenwalk.net.http import HttpClient, HttpError
-from brackenwalk.net.pool import Answer, Connection, MalformedAnswer, Pool
+from brackenwalk.net.pool import Pool
 
 
 class OriginConnection(Connection):
--- a/brackenwalk/net/servers.py
+++ b/brackenwalk/net/servers.py
@@ -6,7 +6,8 @@
 
 from brackenwalk.interface import Status
 from brackenwalk.net.command import MAX_VALUE, Command
-from brackenwalk.net.pool import Answer, Connection, MalformedAnswer, Pool
+from brackenwalk.net.connection import Answer, Connection, MalformedAnswer
+from brackenwalk.net.pool import Pool
 from brackenwalk.net.resp import NOT_YET, ErrorLine, Reader, RespError, pack
 
 MAX_ITEMS = 16  # of an answer's three and of whatever stands in a load report's place
--- a/deploy/compiled.py
+++ b/deploy/compiled.py
@@ -31,3 +31,7 @@
         text = file.read_bytes()
         made_from.update(f"\0{file.relative_to(ROOT)}\0{len(text)}\0".encode() + text)
     return KEPT / made_from.hexdigest()[:32]
+
+
+if __name__ == "__main__":
+    print(folder())
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -14,8 +14,8 @@
 
 from brackenwalk import interface as api
 from brackenwalk import policy
-from brackenwalk.net.clients import Listener
 from brackenwalk.net.host import Host, Member
+from brackenwalk.net.listener import Listener
 from brackenwalk.net.origin import OriginConnection
 from brackenwalk.net.pool import Pool
 from brackenwalk.net.servers import CacheConnection
@@ -154,13 +154,14 @@
         listed: bool = True,
         clients: int = 16,
         door: api.Door | None = None,
+        connections: int = 16,
     ) -> None:
         self.listed = listed
         self.subscribed = 0
         self.caches = {"a": Peer(), "b": Peer()}
         self.origin = Peer()
-        self.servers = Pool(CacheConnection, 16, 1.0, 60.0)
-        self.origins = Pool(OriginConnection, 16, 1.0, 60.0)
+        self.servers = Pool(CacheConnection, connections, 1.0, 60.0)
+        self.origins = Pool(OriginConnection, connections, 1.0, 60.0)
         self.host = Host(settings, 1, self.servers, self.origins, self._subscribe, door)
         self.listener = Listener(self.host, clients)
 
--- a/tests/test_net_host.py
+++ b/tests/test_net_host.py
@@ -12,7 +12,7 @@
 import pytest
 
 from brackenwalk import interface as api
-from brackenwalk.net import clients
+from brackenwalk.net import clients, listener
 from brackenwalk.net import host as hosts
 from brackenwalk.net.clients import MAX_PIPELINED
 from tests.loopback import HIT, MISS, SETTINGS, Link, Router, book, command, http, needs_sources, read, run
@@ -210,8 +210,8 @@
     """Connections that never send a whole command would fill the budget: nobody could connect any more."""
 
     async def scenario() -> None:
-        monkeypatch.setattr(clients, "COMMAND_TIME", 0.5)
-        monkeypatch.setattr(clients, "SWEEP", 0.01)
+        monkeypatch.setattr(listener, "COMMAND_TIME", 0.5)
+        monkeypatch.setattr(listener, "SWEEP", 0.01)
         async with Router() as router:
             usual, silent, half = [await router.client() for _ in range(3)]
             usual.write(command("PING"))
@@ -420,7 +420,7 @@
     """Silent clients by hundreds would drive out the usual ones, which ask on connections that they keep."""
 
     async def scenario() -> None:
-        monkeypatch.setattr(clients, "GRACE", 0.0)
+        monkeypatch.setattr(listener, "GRACE", 0.0)
         async with Router(clients=3) as router:
             usual = await asks(router, 1)
             silent, half = await router.client(), await router.client()
@@ -482,7 +482,7 @@
     """Clients that ask once and stay for good would take memory and descriptors without end."""
 
     async def scenario() -> None:
-        monkeypatch.setattr(clients, "IDLE_TIME", 1.0)
+        monkeypatch.setattr(listener, "IDLE_TIME", 1.0)
         async with Router(clients=4) as router:
             usual = [await asks(router, 2) for _ in range(3)]
             once = await asks(router, 1)
--- a/tests/test_net_passing.py
+++ b/tests/test_net_passing.py
@@ -4,11 +4,16 @@
 
 import asyncio
 import hashlib
+import itertools
+import socket
+from collections.abc import Callable, Coroutine, Iterator
+from contextlib import suppress
+from typing import Any
 
 import pytest
 
-from brackenwalk.net import clients
-from tests.loopback import HIT, MISS, Link, Router, needs_sources, read, run
+from brackenwalk.net import listener
+from tests.loopback import HIT, MISS, Link, Router, http, needs_sources, read, run
 
 VALUE = b"".join(hashlib.sha256(b"%d" % n).digest() for n in range(9600))  # 307,200 bytes
 HEAD = b"*3\r\n$%d\r\n" % len(VALUE)
@@ -163,39 +168,109 @@
     run(scenario)
 
 
-async def slow(router: Router) -> tuple[Link, Link, asyncio.Task[None]]:
-    """A long answer whose client reads nothing; all of it is written, as fast as it is taken."""
-    client, cache = await router.begun(f"r{len(router.host.used) + len(router.host.requests)}")
-    client.reader._transport.pause_reading()  # type: ignore[attr-defined]
+SLOW = 200
+LENGTH = 400_000
 
-    async def pour() -> None:
-        cache.write(b"*3\r\n$1000000\r\n")
-        for _ in range(10):
-            cache.write(b"x" * 100_000)
-            await cache.writer.drain()
-        cache.write(TAIL)
 
-    return client, cache, asyncio.create_task(pour())
+def test_200_slow_clients_hold_what_is_stated_and_others_are_served() -> None:
+    """Gathered whole, 200 values of 400 KB are 80 MB, more than a router has on its tightest day."""
 
+    async def pour(cache: Link) -> None:
+        await cache.resp()
+        cache.write(b"*3\r\n$%d\r\n" % LENGTH)
+        for _ in range(LENGTH // 10_000):
+            cache.write(b"x" * 10_000)
+            await cache.writer.drain()
+        cache.write(TAIL)
 
-def test_a_slow_client_slows_its_own_server_and_holds_little() -> None:
     async def scenario() -> None:
-        async with Router() as router:
-            for connection in list(router.listener.connections):
-                connection.transport.abort()
-            client, _, pour = await slow(router)
-            (connection,) = router.listener.connections
-            connection.transport.set_write_buffer_limits(high=1)
-            while not router.listener.holding and not pour.done():
-                await asyncio.sleep(0.001)
-            if router.listener.holding:  # else the kernel took all of it
-                assert connection.transport.get_write_buffer_size() <= 2 * 65536
+        async with Router(clients=SLOW + 8, connections=SLOW + 8) as router:
+            # the kernel's own buffers would take all of it
+            router.listener.socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 8192)
+            router.host.router.servers["a"].limit = router.host.router.servers["b"].limit = 1e6
+            address, loop = router.listener.socket.getsockname(), asyncio.get_running_loop()
+            slow, pours = [], []
+            for n in range(SLOW):
+                client = socket.socket()
+                client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 8192)
+                client.setblocking(False)
+                await loop.sock_connect(client, address)
+                await loop.sock_sendall(client, read(f"s{n}", key=f"k{n}", info="c=read,t=x,d=9000"))
+                slow.append(client)
+                pours.append(asyncio.create_task(pour(await router.cache())))
+            while len(router.listener.holding) < SLOW:
+                await asyncio.sleep(0.01)
+            held = sum(c.transport.get_write_buffer_size() for c in router.listener.connections)
+            held += sum(len(p) for slot in router.listener.holding for p in slot.pieces)
+            assert held <= SLOW * 2 * 65536
             usual, cache = await router.begun("usual")
             cache.write(HIT)
             assert await usual.resp() == b"value"
-            client.reader._transport.resume_reading()  # type: ignore[attr-defined]
-            assert await least(client, 1_000_000 + 12) == b"$1000000\r\n" + b"x" * 1_000_000 + b"\r\n"
-            await pour
+            got = b""
+            while len(got) < LENGTH + 11:  # and one that reads after all gets all of it
+                got += await loop.sock_recv(slow[0], 65536)
+            assert got == b"$%d\r\n" % LENGTH + b"x" * LENGTH + b"\r\n"
+            for client in slow:
+                client.close()
+            for task in pours:
+                task.cancel()
+
+    run(scenario)
+
+
+def test_an_origin_that_loses_answers_costs_its_requests_nothing() -> None:
+    """Eight lost fetches a second of 400 cut the limit, and each held a place for its whole time."""
+
+    async def cache(link: Link) -> None:
+        while True:
+            await link.resp()
+            link.write(MISS)
+
+    async def origin(link: Link, count: Iterator[int]) -> None:
+        while True:
+            await link.http()
+            await asyncio.sleep(0.02)
+            if next(count) % 50 == 49:
+                await asyncio.sleep(60.0)  # it says nothing more on this connection
+            link.write(http("200 OK", b"value"))
+
+    async def serve(links: asyncio.Queue[Link], make: Callable[[Link], Coroutine[Any, Any, None]]) -> None:
+        async with asyncio.TaskGroup() as tasks:
+            while True:
+                tasks.create_task(quiet(make(await links.get())))
+
+    async def quiet(work: Coroutine[Any, Any, None]) -> None:
+        with suppress(AssertionError, ConnectionError, asyncio.IncompleteReadError):
+            await work
+
+    async def scenario() -> None:
+        async with Router(connections=256, clients=256) as router:
+            count = itertools.count()
+            servers = [asyncio.create_task(serve(peer.links, cache)) for peer in router.caches.values()] + [
+                asyncio.create_task(serve(router.origin.links, lambda link: origin(link, count)))
+            ]
+            client = [await router.client() for _ in range(40)]
+            answers: list[object] = []
+
+            async def ask(n: int, link: Link, before: asyncio.Task[None] | None) -> None:
+                if before is not None:
+                    await before
+                link.write(read(f"r{n}", key=f"k{n}"))
+                answers.append(await link.resp())
+
+            last: list[asyncio.Task[None] | None] = [None] * len(client)
+            for n in range(600):
+                which = n % len(client)
+                last[which] = asyncio.create_task(ask(n, client[which], last[which]))
+                await asyncio.sleep(0.0025)
+            for task in last:
+                if task is not None:
+                    await task
+            assert len(answers) == 600
+            assert sum(a == b"value" for a in answers) >= 596
+            assert router.host.router.servers["o"].limit > 8
+            for server in servers:
+                server.cancel()
 
     run(scenario)
 
@@ -203,7 +278,7 @@
 @needs_sources
 def test_of_too_many_slow_clients_the_first_is_ended(monkeypatch: pytest.MonkeyPatch) -> None:
     async def scenario() -> None:
-        monkeypatch.setattr(clients, "MAX_HOLDING", 1)
+        monkeypatch.setattr(listener, "MAX_HOLDING", 1)
         async with Router() as router:
             client, first = await router.begun("r1")
             client.write(read("r2", key="k") + read("r3", key="k"))
--- a/tests/test_net_pool.py
+++ b/tests/test_net_pool.py
@@ -8,10 +8,13 @@
 import pytest
 
 from brackenwalk.interface import Status
+from brackenwalk.net import connection as connections
 from brackenwalk.net import pool as pools
 from brackenwalk.net.command import Command
+from brackenwalk.net.connection import Connection, Exchange
+from brackenwalk.net.descriptors import Descriptors
 from brackenwalk.net.origin import OriginConnection
-from brackenwalk.net.pool import Connection, Exchange, Pool
+from brackenwalk.net.pool import Pool
 from brackenwalk.net.servers import CacheConnection
 from tests.loopback import HIT, MISS, Link, Peer, http, run, spelled
 
@@ -111,7 +114,7 @@
     """Said to be longer than it is, it would hold its request to the deadline, on a connection of no use."""
 
     async def scenario() -> None:
-        monkeypatch.setattr(pools, "ANSWER_TIME", 0.02)
+        monkeypatch.setattr(connections, "ANSWER_TIME", 0.02)
         async with Peer() as peer:
             ends = Ends(Pool(kind, 8, 1.0, 60.0))
             ends.start(peer.address)
@@ -451,3 +454,71 @@
             assert await (await peer.link()).ended() and not ends.pool.connections
 
     run(scenario)
+
+
+def test_dials_to_one_server_are_bounded_and_the_rest_use_what_comes_up() -> None:
+    """Thousands of cancelled attempts each dialled anew, and handshakes took what the servers had left."""
+
+    async def scenario() -> None:
+        ends = caches(budget=64)
+        async with Peer() as peer:
+            for _ in range(pools.MOST_DIALS + 5):
+                ends.start(peer.address)
+            assert ends.pool.used() == pools.MOST_DIALS
+            for _ in range(pools.MOST_DIALS + 5):
+                link = await peer.link()
+                assert (await link.resp())[2] == b"r1"
+                link.write(HIT)
+            for _ in range(pools.MOST_DIALS + 5):
+                assert await ends.end() == (Status.OK, b"value")
+            assert not ends.pool.waiting and not ends.pool.dialling
+        ends.pool.close()
+
+    run(scenario)
+
+
+def test_what_waits_behind_a_refused_dial_ends_with_it() -> None:
+    async def scenario() -> None:
+        ends = caches(budget=64)
+        async with Peer() as peer:
+            address = peer.address
+        for _ in range(pools.MOST_DIALS + 5):
+            ends.start(address)
+        ends.start(address).abandon()
+        for _ in range(pools.MOST_DIALS + 5):
+            assert (await ends.end())[0] is Status.CONNECT_FAILED
+        await asyncio.sleep(0)
+        assert not ends.pool.waiting and not ends.pool.dialling and ends.results.empty()
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("borrowed", [True, False])
+def test_sides_lend_what_they_do_not_use(borrowed: bool) -> None:
+    """Fetches ended unsent at an eighth of the descriptors while the clients' half stood unused."""
+
+    class Held:
+        def __init__(self, budget: int, count: int, idle: int = 0) -> None:
+            self.budget, self.count, self.idle = budget, count, idle
+
+        def used(self) -> int:
+            return self.count
+
+        def give_back(self) -> bool:
+            if not self.idle:
+                return False
+            self.idle -= 1
+            self.count -= 1
+            return True
+
+    descriptors = Descriptors(80)
+    clients, servers, origin = Held(40, 4), Held(30, 10), Held(10, 10, idle=3 if borrowed else 0)
+    for side in (clients, servers, origin):
+        descriptors.add(side)
+    while descriptors.may_take(origin):
+        origin.count += 1
+    # the others keep half of their own: 20 and 15
+    assert origin.count == 80 - 20 - 15
+    while descriptors.may_take(clients) and clients.count < 100:
+        clients.count += 1
+    assert descriptors.used() <= 80 and clients.count == (28 if borrowed else 25)
