--- a/brackenwalk/net/servers.py
+++ b/brackenwalk/net/servers.py
@@ -26,7 +26,7 @@
         super().__init__(pool, address)
         self.reader = Reader(MAX_ITEMS, MAX_VALUE, MAX_ANSWER)
         self.left = 0  # bytes of a long value that are still to come
-        self.last = b""  # the last of those that have
+        self.last = b""  # its last byte
 
     def encode(self, command: Command, time_left: float) -> bytes:
         parts = [command.verb, command.key, command.request, command.info_for(time_left)]
@@ -52,11 +52,11 @@
         if self.left:
             part, data = data[: self.left], data[self.left :]
             self.left -= len(part)
-            if part:
-                self.pieces.append(self.last + part[:-1])
-                self.last = part[-1:]
             if self.left:
+                self.pieces.append(part)  # as it is: a copy of each was a third of the cost
                 return None
+            self.pieces.append(part[:-1])
+            self.last = part[-1:]
             self.reader.feed(BEFORE_TAIL)
         answer = self._short(data)
         if answer is not None:
