--- a/brackenwalk/net/servers.py
+++ b/brackenwalk/net/servers.py
@@ -53,7 +53,7 @@
             part, data = data[: self.left], data[self.left :]
             self.left -= len(part)
             if self.left:
-                self.pieces.append(part)  # as it is: a copy of each was a third of the cost
+                self.pieces.append(part)  # as it is, without a copy
                 return None
             self.pieces.append(part[:-1])
             self.last = part[-1:]
--- a/brackenwalk/policy.py
+++ b/brackenwalk/policy.py
@@ -642,7 +642,8 @@
         origin = self._origin()
         late = [q[-1] for q in self.queue if q[-1].waiting and self.now >= self._latest_start(q[-1], origin)]
         for held in late:
-            self._end(held)
+            if held.waiting:  # not ended meanwhile, with one whose fetch it followed
+                self._end(held)
         # guards against requests long ended piling up behind those of more worth
         self.queue = [q for q in self.queue if q[-1].waiting]
         heapq.heapify(self.queue)
