Refuse at once a read whose wait for the origin is over while a copy of it is out

Cause: a read that had missed waited for a place at the origin while a second copy of it was out. Checked: only requests with an open copy are concerned. Change: a wait that is over is over; the end of what is out ends the request, and what followed its fetch goes on at once.

--- a/myrtlecourse/policy.py
+++ b/myrtlecourse/policy.py
@@ -498,6 +498,11 @@
     def _end(self, held: Held) -> None:
         """The final answer: a refusal where the class permits one, else a failure."""
         if held.streaming or held.open_attempts():
+            # guards the deadline: it waits for no place any more, and the end of what is out must end it; the
+            # queue is looked through only when something else happens at the origin
+            held.waiting = False
+            if not any(a.open and not a.server.cache for a in held.attempts):
+                self._release(held, served=False)
             return
         name = held.request.request
         origin = self._origin() if held.to_origin else None
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -434,6 +434,30 @@
     assert d.router.servers["a"].limit >= policy.LIMIT_START
 
 
+def test_a_wait_given_up_ends_with_the_last_copy_that_is_out() -> None:
+    """A read waited for the origin, a copy of it out, until both were over: it was refused with the next sweep.
+
+    What followed its fetch goes on at once.
+    """
+    d = Driver(settings(**ASIDE))
+    d.list(*fleet("a", "b", "o"))
+    d.router.servers["o"].limit = 1.0
+    first = d.request("r1", key="k1") or ""
+    missed(d, "r0", key="k0")  # holds the one place
+    held = d.router.held["r1"]
+    d.router._send(held, d.router.servers["b" if first == "a" else "a"])
+    for action in d.router.out:
+        d.check(action)
+    d.end("r1", api.Status.MISS, 0)
+    missed(d, "r2", key="k1")
+    assert held.waiting and held.open_attempts() == 1 and d.router.fetches["k1"][1]
+    d.now = held.until
+    d.feed(api.TimerFired("wait:r1"))
+    assert d.router.fetches["k1"][0] is d.router.held["r2"]
+    d.end("r1", api.Status.TIMEOUT, 1)
+    assert d.ended["r1"] == "refused"
+
+
 def test_no_fetch_is_sent_that_cannot_be_back_in_time() -> None:
     """With a slow origin, fetches were sent that came back after the aim, and kept others out."""
     d = Driver(settings(**ASIDE))
