Learn from one refused dial, from the fleet's latency, and share first guesses at the origin

Change: a refused dial costs no retry; with more than three routers a server that is met seldom is left out after one refused dial or one attempt without an answer; what others take tells when an unknown server is overdue; the routers share three first guesses at the origin, one each at least. A fleet of up to three routers keeps its counts and guesses.

--- a/myrtlecourse/policy.py
+++ b/myrtlecourse/policy.py
@@ -17,15 +17,17 @@
 from dataclasses import dataclass, field
 
 from myrtlecourse import interface as api
-from myrtlecourse.evidence import OUTLIER, SMOOTHING, UNHEARD, Evidence, Verdict
+from myrtlecourse.evidence import OUTLIER, OVERDUE, SMOOTHING, UNHEARD, Evidence, Verdict
 
 POINTS = 128  # virtual nodes of a server as large as the unit of weight: shares within a tenth or so
 EPSILON = 0.25  # a server may stand this far above the average load before the walk passes it
 WALK = 64  # points a walk goes at most: no tour of the fleet for each request when all is crowded
 ROOM = 0.3  # of own attempts answered well: above it a refusal as full, being cheap, spends no retry
+CHEAP = (api.Status.FULL, api.Status.CONNECT_FAILED)  # they cost the fleet next to no work
 QUEUE = 0.25  # of the time left that may be spent waiting behind what a server is reported to hold
 SPILL = 2  # servers a key may visit: further on they lack it, and a crowd of hits would turn into misses
 LIMIT_START = 4.0  # first guess of what one router may have out at a server; moves within seconds
+FEW = 3  # routers that learn fast, and have a first guess each out at the origin; more share those
 CACHE_TARGET = 0.25  # of the aim: answers slower than this on average mean that too many are out
 ORIGIN_TARGET = 0.5  # the same for the origin, which is slow by nature
 UNKNOWN = 0.25  # of the shortest aim: how long a first answer may take before another attempt is tried
@@ -220,7 +222,10 @@
             elif known is None or entry.since > known.entry.since:  # a new process: nothing learned holds
                 self._drop(entry.server)
                 origin = self.settings.aside and entry.kind == self.settings.origin_kind
-                self.servers[entry.server] = Server(entry, not origin)
+                server = self.servers[entry.server] = Server(entry, not origin)
+                if origin:
+                    # guards the origin after a mass restart: forty first guesses are many times what it bears
+                    server.limit = max(1.0, LIMIT_START * min(1.0, FEW / self.settings.siblings))
             else:
                 known.entry = entry
         self._build_ring()
@@ -343,13 +348,20 @@
             return False
         return self._permits(held, server)
 
-    def _note_failure(self, server: Server, failed: bool) -> None:
+    def _met_seldom(self) -> bool:
+        """Whether this router is one of many, and FAILURES in a row at one server would take it too long."""
+        if self.settings.siblings <= FEW:
+            return False
+        rate = self.taken / max(self.now - self.born, self.shortest_aim) / max(1, len(self.caches))
+        return rate * PAUSE < FAILURES
+
+    def _note_failure(self, server: Server, failed: bool, count: int = 1) -> None:
         """Guards retries: keys of a server that fails each attempt at once would spend them all."""
         others = sum(s.failures >= FAILURES for s in self.caches if s is not server)
         if not failed or not server.cache or others + 1 > MOST_OUT * len(self.caches):
             server.failures, server.pause = 0, 0.0
             return
-        server.failures += 1
+        server.failures += count
         if server.failures >= FAILURES and self.now >= server.out_until:
             server.pause = min(self.settings.ramp, max(PAUSE, 2 * server.pause))
             server.out_until = self.now + server.pause * self.random.uniform(0.5, 1.0)
@@ -418,10 +430,19 @@
         self.out.append(api.Send(name, server.entry.server))
         self._look_again(held, attempt)
 
+    def _overdue_after(self, server: Server) -> float:
+        """Seconds after which an attempt without an answer is more likely lost than late; 0 if unknown.
+
+        Guards what goes to a server that has never answered this router, which in a large fleet meets each
+        seldom: it would wait to the end. How long caches take is known from the others.
+        """
+        usual = self.wait * (1 + server.reported) if server.cache else 0.0
+        return server.evidence.overdue_after() or OVERDUE * usual
+
     def _look_again(self, held: Held, attempt: Attempt) -> None:
         """A timer for when an attempt without an answer will be more likely lost than late."""
         server = attempt.server
-        overdue = server.evidence.overdue_after() if server.cache else self._pause_before_trial(server)
+        overdue = self._overdue_after(server) if server.cache else self._pause_before_trial(server)
         if overdue and self.now < held.until:
             age = self.now - attempt.sent_at
             pause = overdue - age if age < overdue else overdue
@@ -443,7 +464,7 @@
         self._serve_queue()
         if not last.open or held.waiting or held.streaming:
             return
-        late = self.now - last.sent_at >= last.server.evidence.overdue_after() - ROUNDING
+        late = self.now - last.sent_at >= self._overdue_after(last.server) - ROUNDING
         if late and self.retries >= 1 and self._copy(held, last):
             return
         if not last.lost and (not late or held.to_origin):
@@ -529,8 +550,13 @@
         if not attempt.lost:
             attempt.server.load -= 1
         verdict = attempt.server.evidence.judge(self.now, attempt.sent_at, event.status, event.latency)
-        if event.status not in UNHEARD:
-            self._note_failure(attempt.server, verdict is Verdict.FAILED)
+        overdue = self._overdue_after(attempt.server)
+        seldom = self._met_seldom()
+        late = 0 < overdue - ROUNDING <= self.now - attempt.sent_at
+        stalled = seldom and late and verdict is Verdict.STALLED
+        if stalled or event.status not in UNHEARD:
+            alone = stalled or seldom and event.status is api.Status.CONNECT_FAILED
+            self._note_failure(attempt.server, stalled or verdict is Verdict.FAILED, FAILURES if alone else 1)
         attempt.server.used_at = self.now
         lost = event.status is api.Status.CONNECT_FAILED
         self.keep = self.keep / 2 if lost else self.keep + KEEP_GAIN * (KEEP - self.keep)
@@ -556,7 +582,7 @@
             held.missed.append(held.attempts[event.attempt].server)
         elif event.status is api.Status.ERROR and not self.settings.aside:
             held.until = self.now  # guards against a failing origin: each server tried fetches the key again
-        elif not held.to_origin and (event.status is not api.Status.FULL or self.good < ROOM):
+        elif not held.to_origin and (event.status not in CHEAP or self.good < ROOM):
             # guards against feeding an overload: full servers made every request into a dozen attempts
             if self.retries < 1:
                 held.until = self.now
