--- a/myrtlecourse/policy.py
+++ b/myrtlecourse/policy.py
@@ -27,7 +27,7 @@
 QUEUE = 0.25  # of the time left that may be spent waiting behind what a server is reported to hold
 SPILL = 2  # servers a key may visit: further on they lack it, and a crowd of hits would turn into misses
 LIMIT_START = 4.0  # first guess of what one router may have out at a server; moves within seconds
-FEW = 3  # routers that learn fast, and have a first guess each out at the origin; more share those
+FEW = 4  # routers that learn fast, and have a first guess each out at the origin; more share those
 CACHE_TARGET = 0.25  # of the aim: answers slower than this on average mean that too many are out
 ORIGIN_TARGET = 0.5  # the same for the origin, which is slow by nature
 UNKNOWN = 0.25  # of the shortest aim: how long a first answer may take before another attempt is tried
@@ -54,6 +54,7 @@
 
     entry: api.ServerEntry
     cache: bool = True  # or the origin
+    started: float = 0.0  # 0: long ago
     load: int = 0  # own attempts that may still come back
     size: float = 1.0  # its weight, steady
     reported: float = 0.0  # requests held for each unit of size, by all routers, seconds ago
@@ -215,19 +216,19 @@
         if event.kind is not api.ListKind.DELTA:
             for i in self.servers.keys() - {e.server for e in event.entries}:
                 self._drop(i)
+        early = 0
         for entry in event.entries:
             known = self.servers.get(entry.server)
             if entry.state is api.State.GONE:
                 self._drop(entry.server)
             elif known is None or entry.since > known.entry.since:  # a new process: nothing learned holds
                 self._drop(entry.server)
-                origin = self.settings.aside and entry.kind == self.settings.origin_kind
-                server = self.servers[entry.server] = Server(entry, not origin)
-                if origin:
-                    # guards the origin after a mass restart: forty first guesses are many times what it bears
-                    server.limit = max(1.0, LIMIT_START * min(1.0, FEW / self.settings.siblings))
+                self._admit(entry)
+                early += entry.since > self.now
             else:
                 known.entry = entry
+        if early:
+            self.out.append(api.Log(f"list: servers that start in the future, taken as started now: {early}"))
         self._build_ring()
         if event.kind is not api.ListKind.SAVED:
             self.list_failures = 0
@@ -250,6 +251,15 @@
         self.out.append(api.SetTimer(pause * self.random.uniform(0.5, 1.0), "list"))
         self.out.append(api.Log(f"list out of reach, {self.list_failures} in a row"))
 
+    def _admit(self, entry: api.ServerEntry) -> None:
+        """Begin with a server of which nothing is known."""
+        origin = self.settings.aside and entry.kind == self.settings.origin_kind
+        # guards against a start that is said to lie ahead: it would count as cold for as long
+        server = self.servers[entry.server] = Server(entry, not origin, min(entry.since, self.now))
+        if origin:
+            # guards the origin after a mass restart: forty first guesses are many times what it bears
+            server.limit = max(1.0, LIMIT_START * min(1.0, FEW / self.settings.siblings))
+
     def _drop(self, name: str) -> None:
         if name in self.servers:
             self._place(self.servers.pop(name), 0)
@@ -373,11 +383,11 @@
 
     def _warm_share(self, server: Server) -> float:
         """Share of its points that count: the stated warm-up, cut by our own share of good answers."""
-        age = self.now - server.entry.since
-        if server.entry.since <= 0 or age >= self.settings.ramp:
+        age = self.now - server.started
+        if server.started <= 0 or age >= self.settings.ramp:
             return 1.0
         # guards against client retries, which multiply what is sent just when servers bear the least
-        return self.good * (1 - (1 - self.settings.cold_share) * (1 - max(0.0, age) / self.settings.ramp))
+        return self.good * (1 - (1 - self.settings.cold_share) * (1 - age / self.settings.ramp))
 
     def _on_request(self, request: api.Request) -> None:
         request_class = self.settings.classes.get(request.request_class)
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -118,6 +118,7 @@
         http("200 OK", message(42, False, {**LINE, "address": ""})),
         b"hello\r\n\r\n",
         b"HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n{",
+        b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % (discoveries.MAX_LIST + 1) + b" " * 65536,
         b"",
     ],
 )
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -496,6 +496,19 @@
     assert out == most
 
 
+def test_a_start_in_the_future_counts_as_one_now() -> None:
+    """A clock an hour ahead would have kept its server at a cold one's share for an hour."""
+    d = Driver(settings())
+    actions = d.list(entry("a", since=d.now + 3600), entry("b"))
+    assert api.Log("list: servers that start in the future, taken as started now: 1") in actions
+    server = d.router.servers["a"]
+    assert d.router._warm_share(server) == pytest.approx(d.conf.cold_share)
+    d.now += d.conf.ramp
+    again = d.list(entry("a", since=server.entry.since), entry("b"))
+    assert d.router._warm_share(server) == 1.0
+    assert d.router.servers["a"] is server and not again, "the same process, and nothing new to tell"
+
+
 def test_a_wait_given_up_ends_with_the_last_copy_that_is_out() -> None:
     """A read waited for the origin with a copy out until both were over: the next sweep refused it.
 
