--- a/bench/large_fleet.py
+++ b/bench/large_fleet.py
@@ -1,7 +1,8 @@
 """Many routers and what they do together: a zone that dies, and a restart of most routers, in virtual time.
 
 Each day is played with two and with forty routers before sixty boxes, by the decision module as it is and
-with what it does for large fleets taken out, on the same seeds. One core, some minutes; `--json` keeps the
+with its rules for many routers and for refused dials taken out (the overdue time of a server not heard before
+stays in), on the same seeds. One core, some minutes; `--json` keeps the
 figures. No timing is measured, so that the machine may be busy.
 """
 
