--- a/myrtlecourse/fleet/station.py
+++ b/myrtlecourse/fleet/station.py
@@ -52,10 +52,10 @@
         whole = self.warm_up * (1 + self.cold) / 2
         if integral >= whole:
             return self.started + self.warm_up + (integral - whole)
-        slope = (1 - self.cold) / self.warm_up
-        if not slope:
-            return self.started + integral / self.cold
-        return self.started + (math.sqrt(self.cold**2 + 2 * slope * integral) - self.cold) / slope
+        # the form of the root that neither takes the difference of two near numbers nor divides by the slope,
+        # which may be nothing, or without end
+        rise = 2 * (1 - self.cold) * (integral / self.warm_up)
+        return self.started + 2 * integral / (self.cold + math.sqrt(self.cold**2 + rise))
 
     def done(self, now: float) -> float:
         """Work of one core up to now."""
