Split the decision module into a package whose files each have one job

Need: zones and the duties after them meet the module through one seam; policy.py held the ring, limits, ejections, popularity, the origin's line and the request's way in one class of 650 lines.

Change: policy/ has state, ring, popularity, learning, line (who waits for the origin and who follows whose fetch), tuning (all numbers) and router. The line is a plain structure that hands out the next request; the router carries out. Plans of experiments name numbers as before.

--- a/myrtlecourse/experiment/plan.py
+++ b/myrtlecourse/experiment/plan.py
@@ -24,7 +24,7 @@
 from myrtlecourse.sim.settings import read_both
 
 MOST_POINTS = 10_000  # of a grid; what is larger must be sampled
-MODULES = ("policy", "evidence")
+MODULES = {"policy": "policy.tuning", "evidence": "evidence"}  # by the name that plans give them
 Value = bool | int | float | str
 
 
@@ -104,7 +104,7 @@
 
 def constant(module: str, name: str, value: Value) -> Value:
     """Look whether there is such a constant, and whether the value may stand for it."""
-    there = importlib.import_module(f"myrtlecourse.{module}")
+    there = importlib.import_module(f"myrtlecourse.{MODULES[module]}")
     if not str(there.__file__).endswith(".py"):
         raise PlanError(f"{module}.{name}: constants can be changed in the sources only, not compiled")
     before = getattr(there, name, None)
--- a/myrtlecourse/experiment/runs.py
+++ b/myrtlecourse/experiment/runs.py
@@ -13,7 +13,7 @@
 
 import msgspec
 
-from myrtlecourse.experiment.plan import Plan, Value, settled, sources
+from myrtlecourse.experiment.plan import MODULES, Plan, Value, settled, sources
 from myrtlecourse.experiment.store import Store
 from myrtlecourse.fleet.scenario import Scenario
 from myrtlecourse.load.profile import Profile
@@ -75,7 +75,7 @@
     before = []
     for path, value in run.constants.items():
         module, _, name = path.partition(".")
-        there = importlib.import_module(f"myrtlecourse.{module}")
+        there = importlib.import_module(f"myrtlecourse.{MODULES[module]}")
         before.append((there, name, getattr(there, name)))
         setattr(there, name, value)
     try:
--- a/myrtlecourse/policy.py
+++ b/myrtlecourse/policy/router.py
@@ -8,137 +8,16 @@
 
 from __future__ import annotations
 
-import hashlib
-import heapq
-import math
 import random
-import struct
-from bisect import bisect_left
-from dataclasses import dataclass, field
 
 from myrtlecourse import interface as api
-from myrtlecourse.evidence import OUTLIER, OVERDUE, SMOOTHING, UNHEARD, Evidence, Verdict
-
-POINTS = 128  # virtual nodes of a server as large as the unit of weight: shares within a tenth or so
-EPSILON = 0.25  # a server may stand this far above the average load before the walk passes it
-WALK = 64  # points a walk goes at most: no tour of the fleet for each request when all is crowded
-ROOM = 0.3  # of own attempts answered well: above it a refusal as full, being cheap, spends no retry
-CHEAP = (api.Status.FULL, api.Status.CONNECT_FAILED)  # they cost the fleet next to no work
-QUEUE = 0.25  # of the time left that may be spent waiting behind what a server is reported to hold
-SPILL = 2  # servers a key may visit: further on they lack it, and a crowd of hits would turn into misses
-LIMIT_START = 4.0  # first guess of what one router may have out at a server; moves within seconds
-FEW = 4  # routers that learn fast, and have a first guess each out at the origin; more share those
-CACHE_TARGET = 0.25  # of the aim: answers slower than this on average mean that too many are out
-ORIGIN_TARGET = 0.5  # the same for the origin, which is slow by nature
-UNKNOWN = 0.25  # of the shortest aim: how long a first answer may take before another attempt is tried
-ROUNDING = 1e-6  # seconds by which a timer may come early
-STORED = 2  # servers that lacked a key, at which a fetch stores it
-IDLE = 0.5  # of a limit: with less out than that there are places that nobody else wants
-FAIR_CHANCE = 0.2  # of an answer in time: worth a place that nobody else wants
-FETCH_ROOM = 2.0  # times the usual latency that must be left: a fetch given up midway is not even stored
-EASY = 0.25  # of the target: an origin that answers so fast gets twice as much within its latency
-LIMIT_CUT = 0.75  # soon enough to empty a crowded server within a few rounds; a tenth took many seconds
-RETRY_SHARE = 0.2  # retries for each request taken: enough for a server lost, too few to feed an overload
-RETRIES_SAVED = 10.0  # unspent retries kept, so that those of a lost server can all go at once
-SILENCE = 1.0  # shortest aims without any answer: longer than pauses, soon enough to matter
-KEEP = 0.5  # of the idle time at which a connection costs as much as the handshake it saves
-KEEP_GAIN = 0.01  # of the way back to KEEP with each answer, after failures have cut it by half each
-FAILURES = 3  # in a row take a server out: spoilt answers come one by one, those of a dead process together
-PAUSE = 0.5  # seconds out at first, doubled with each trial that fails; routers must not try in step
-MOST_OUT = 0.5  # share of the fleet; when more fails it is not the servers, and the others could not bear it
-
-
-@dataclass(slots=True, eq=False)
-class Server:
-    """A listed server as this router sees it."""
-
-    entry: api.ServerEntry
-    cache: bool = True  # or the origin
-    started: float = 0.0  # 0: long ago
-    banned: bool = False  # by operators, until they give it back
-    load: int = 0  # own attempts that may still come back
-    size: float = 1.0  # its weight, steady
-    reported: float = 0.0  # requests held for each unit of size, by all routers, seconds ago
-    points: tuple[int, ...] = ()  # its positions on the ring
-    limit: float = LIMIT_START  # of own attempts in flight
-    cut_at: float = -math.inf
-    slowness: float = 0.0  # smoothed share of the target that answers take, as one says little
-    used_at: float = 0.0  # last end of an attempt
-    failures: int = 0  # in a row
-    pause: float = 0.0
-    out_until: float = -math.inf
-    evidence: Evidence = field(default_factory=Evidence)
-
-    @property
-    def ready(self) -> bool:
-        """Whether it may be sent anything new."""
-        return self.entry.ready and not self.banned
-
-
-@dataclass(slots=True, eq=False, init=False)
-class Attempt:
-    """One send of a request."""
-
-    server: Server
-    target: float  # slower than this means too many are out
-    sent_at: float
-    open: bool
-    may_have_run: bool  # until an outcome proves the contrary
-    lost: bool  # more likely than late: it holds no place any more
-
-    def __init__(self, server: Server, target: float, sent_at: float) -> None:
-        self.server = server
-        self.target = target
-        self.sent_at = sent_at
-        self.open = True
-        self.may_have_run = True
-        self.lost = False
-
-
-@dataclass(slots=True, eq=False, init=False)
-class Held:
-    """A request that is owed its final answer."""
-
-    request: api.Request
-    request_class: api.RequestClass
-    settings: api.Settings  # that it began under, whatever holds by now
-    until: float  # no use in waiting for longer
-    to_origin: bool
-    attempts: list[Attempt]
-    waiting: bool  # for a place at the origin, or for any server at all
-    streaming: bool
-    missed: list[Server]  # that lacked its key: a fetch stores it there
-
-    def __init__(
-        self,
-        request: api.Request,
-        request_class: api.RequestClass,
-        settings: api.Settings,
-        until: float,
-        to_origin: bool,
-    ) -> None:
-        self.request = request
-        self.request_class = request_class
-        self.settings = settings
-        self.until = until
-        self.to_origin = to_origin
-        self.attempts = []
-        self.waiting = False
-        self.streaming = False
-        self.missed = []
-
-    def open_attempts(self) -> int:
-        return sum(a.open for a in self.attempts)
-
-
-def ring_hash(text: str) -> tuple[int, ...]:
-    """Positions on the ring: a key takes the first, a server all of them."""
-    return struct.unpack(">8Q", hashlib.blake2b(text.encode()).digest())
-
-
-def virtual_nodes(server: str, count: int) -> tuple[int, ...]:
-    """The first virtual nodes of a server; more weight adds to them and moves none."""
-    return tuple(p for j in range(math.ceil(count / 8)) for p in ring_hash(f"{server}-vnode-{j}"))[:count]
+from myrtlecourse.evidence import OVERDUE, SMOOTHING, UNHEARD, Verdict
+from myrtlecourse.policy import tuning
+from myrtlecourse.policy.learning import learn_limit, note_failure
+from myrtlecourse.policy.line import Line
+from myrtlecourse.policy.popularity import Popularity
+from myrtlecourse.policy.ring import Ring
+from myrtlecourse.policy.state import Attempt, Held, Server
 
 
 class Router:
@@ -155,23 +34,16 @@
         self.servers: dict[str, Server] = {}
         self.banned: set[str] = set()  # by operators, listed or not
         self.returned: dict[str, float] = {}  # when they gave one back, while it may still be cold
-        self.owners: dict[int, tuple[Server, float]] = {}  # and the rank of each point among the owner's
-        self.positions: list[int] = []  # sorted
-        self.seen: dict[str, int] = {}  # requests of each key, in a memory that halves every ramp
-        self.seen_total = 0.0
-        self.sizes: dict[str, float] = {}  # the largest weight seen of a kind
+        self.ring = Ring()
+        self.popularity = Popularity(now)
         self.held: dict[str, Held] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}
-        # for the origin, or any server: worth, then how often a key is asked for, then age
-        self.queue: list[tuple[float, int, int, Held]] = []
-        self.fetches: dict[str, tuple[Held, list[Held]]] = {}  # of each key: who fetches it, and who follows
-        self.queued = 0
-        self.swept_at = -math.inf
+        self.line = Line()  # for the origin, or any server
         self.list_failures = 0
-        self.retries = RETRIES_SAVED
-        self.born = self.halve_at = now
+        self.retries = tuning.RETRIES_SAVED
+        self.born = now
         self.taken = 0  # requests, since birth
-        self.keep = KEEP
+        self.keep = tuning.KEEP
         self._build_ring()
         self.wait = 0.0  # smoothed latency for each request held a unit of size, the one in hand included
         self.good = 1.0  # smoothed share of attempts at caches that were answered well
@@ -295,9 +167,8 @@
 
     def _serve_waiting(self) -> None:
         """Look anew at all that waits, as servers have come."""
-        queue, self.queue = sorted(self.queue), []
-        for *_, held in queue:
-            if held.waiting:
+        for held in self.line.take_all():
+            if held.waiting:  # not ended meanwhile, with one whose fetch it followed
                 held.waiting = False
                 self._advance(held)
 
@@ -325,44 +196,16 @@
         server = self.servers[entry.server] = Server(entry, not origin, started, banned)
         if origin:
             # guards the origin after a mass restart: forty first guesses are many times what it bears
-            server.limit = max(1.0, LIMIT_START * min(1.0, FEW / self.settings.siblings))
+            server.limit = max(1.0, tuning.LIMIT_START * min(1.0, tuning.FEW / self.settings.siblings))
 
     def _drop(self, name: str) -> None:
         if name in self.servers:
-            self._place(self.servers.pop(name), 0)
-
-    def _place(self, server: Server, count: int) -> tuple[int, ...]:
-        """Give a server its points, each with a rank among them; answers with those that are new."""
-        if count == len(server.points):
-            return ()
-        for p in server.points:
-            del self.owners[p]
-        server.points = virtual_nodes(server.entry.server, count)
-        self.owners.update({p: (server, (j + 0.5) / count) for j, p in enumerate(server.points)})
-        return server.points
+            self.ring.place(self.servers.pop(name), 0)
 
     def _build_ring(self) -> None:
-        """Points follow the size of a server alone, so that others coming or going move none of them."""
-        caches = self.caches = [s for s in self.servers.values() if s.cache and s.ready]
+        self.caches = [s for s in self.servers.values() if s.cache and s.ready]
         self.origins = [s for s in self.servers.values() if not s.cache and s.ready]
-        for s in caches:
-            s.size = s.entry.weight
-            if self.settings.live_weights:
-                # live weights fall with load and come late: on the ring they moved keys with every list
-                kind = s.entry.kind
-                s.size = self.sizes[kind] = max(self.sizes.get(kind, 0.0), s.size)
-                s.reported = s.size / s.entry.weight - 1 if s.entry.weight else 0.0
-        largest = max((s.size for s in caches), default=0.0) or 1.0  # and what a missing weight counts as
-        unit = 2.0 ** math.ceil(math.log2(largest))  # rarely changes with the fleet
-        fresh: set[int] = set()
-        for s in self.servers.values():
-            s.size = s.size or largest
-            fresh.update(self._place(s, math.ceil(POINTS * s.size / unit) if s.cache and s.ready else 0))
-        if fresh or len(self.owners) < len(self.positions):
-            kept = [p for p in self.positions if p in self.owners and p not in fresh]
-            self.positions = sorted([*kept, *fresh])
-        self.total_size = sum(s.size for s in caches)
-        self.mean_reported = sum(s.reported for s in caches) / max(1, len(caches))
+        self.ring.build(self.servers.values(), self.caches, self.settings.live_weights)
 
     def _origin(self) -> Server | None:
         """The least loaded origin member that may be sent to."""
@@ -371,14 +214,16 @@
     def _choose(self, held: Held) -> Server | None:
         """The bounded walk: a key's load flows clockwise, and each server keeps (1 + epsilon) fair shares."""
         key = held.request.key if held.request.key is not None else held.request.request
-        start = bisect_left(self.positions, ring_hash(key)[0])
+        start = self.ring.start(key)
         flow = self.random.random() * self._load_of(key)
-        cap = (1 + EPSILON) * max(1.0, self.mean_reported)  # passed by chance: all read the same late report
+        # passed by chance: all read the same late report
+        cap = (1 + tuning.EPSILON) * max(1.0, self.ring.mean_reported)
         passed: set[Server] = set()
         crowded = 0
         first = None
-        for step in range(min(WALK, len(self.positions))):
-            server, rank = self.owners[self.positions[(start + step) % len(self.positions)]]
+        positions, owners = self.ring.positions, self.ring.owners
+        for step in range(min(tuning.WALK, len(positions))):
+            server, rank = owners[positions[(start + step) % len(positions)]]
             warm = self._warm_share(server)
             # guards against pushing over a cold server: all leave out the same points, and none spills to it
             if rank > warm or server in passed or (warm < 1 and passed):
@@ -386,36 +231,30 @@
             passed.add(server)
             if self._eligible(held, server):
                 first = first or server
-                flow -= (1 + EPSILON) * warm * server.size / self.total_size
+                flow -= (1 + tuning.EPSILON) * warm * server.size / self.ring.total_size
                 if flow <= 0 and server.reported * self.random.random() <= cap:
                     return server
             elif server.load >= server.limit and not self._silent(server):
                 crowded += 1
-                if crowded >= SPILL:
+                if crowded >= tuning.SPILL:
                     break
         return first  # all over the cap: then it is as good as any, and likelier to have the key
 
     def _load_of(self, key: str) -> float:
-        """A key's share of own requests. Guards against hot keys: own loads are too few to show them."""
-        if self.now > self.halve_at:
-            self.halve_at = self.now + self.settings.ramp
-            self.seen = {k: n // 2 for k, n in self.seen.items() if n > 1}
-            self.seen_total /= 2
-        self.seen_total += 1
-        times = self.seen[key] = self.seen.get(key, 0) + 1
-        return (times - 1) / max(self.seen_total, len(self.caches))  # a key met twice by chance is not hot
+        """A key's share of own requests, this one counted."""
+        return self.popularity.share(self.now, key, self.settings.ramp, len(self.caches))
 
     def _too_late(self, held: Held, server: Server) -> bool:
         """Refuses by chance what would wait too long. Guards against rooms so full that all is late."""
         left = held.until - self.now
         if self.settings.live_weights:  # told how crowded it is
-            return self.random.random() * self.wait * server.reported / QUEUE > left
+            return self.random.random() * self.wait * server.reported / tuning.QUEUE > left
         # an idle place costs nothing, one that others want is given by the chance to be in time
         return self.random.random() * server.load / server.limit > server.evidence.latencies.chance(left)
 
     def _eligible(self, held: Held, server: Server) -> bool:
         """Whether a server may take the request now."""
-        if self.now < server.out_until or server.load and server.failures >= FAILURES:
+        if self.now < server.out_until or server.load and server.failures >= tuning.FAILURES:
             return False
         if server.load >= server.limit or server.load and self._silent(server):
             return False
@@ -424,27 +263,18 @@
         return self._permits(held, server)
 
     def _met_seldom(self) -> bool:
-        """Whether this router is one of many, and FAILURES in a row at one server would take it too long."""
-        if self.settings.siblings <= FEW:
+        """Whether this router is one of many: so many failures in a row at one server take it too long."""
+        if self.settings.siblings <= tuning.FEW:
             return False
         rate = self.taken / max(self.now - self.born, self.shortest_aim) / max(1, len(self.caches))
-        return rate * PAUSE < FAILURES
+        return rate * tuning.PAUSE < tuning.FAILURES
 
     def _note_failure(self, server: Server, failed: bool, count: int = 1) -> None:
-        """Guards retries: keys of a server that fails each attempt at once would spend them all."""
-        others = sum(s.failures >= FAILURES for s in self.caches if s is not server)
-        if not failed or not server.cache or others + 1 > MOST_OUT * len(self.caches):
-            server.failures, server.pause = 0, 0.0
-            return
-        server.failures += count
-        if server.failures >= FAILURES and self.now >= server.out_until:
-            server.pause = min(self.settings.ramp, max(PAUSE, 2 * server.pause))
-            server.out_until = self.now + server.pause * self.random.uniform(0.5, 1.0)
-            server.limit = min(server.limit, LIMIT_START)  # it may come back cold, and the list tells it late
+        note_failure(self.now, server, self.caches, failed, count, self.settings.ramp, self.random)
 
     def _silent(self, server: Server) -> bool:
         """Whether a server owes us an answer and has given none, to anything, for too long."""
-        return self.now - server.evidence.quiet_since > SILENCE * self.shortest_aim
+        return self.now - server.evidence.quiet_since > tuning.SILENCE * self.shortest_aim
 
     def _warm_share(self, server: Server) -> float:
         """Share of its points that count: the stated warm-up, cut by our own share of good answers."""
@@ -463,7 +293,7 @@
         origin = self.settings.aside and request.write
         held = self.held[request.request] = Held(request, request_class, self.settings, until, origin)
         self.taken += 1
-        self.retries = min(RETRIES_SAVED, self.retries + RETRY_SHARE)
+        self.retries = min(tuning.RETRIES_SAVED, self.retries + tuning.RETRY_SHARE)
         self._advance(held)
 
     def _permits(self, held: Held, server: Server | None) -> bool:
@@ -483,7 +313,7 @@
 
     def _advance(self, held: Held) -> None:
         """Send the next attempt, hold the request for one, or end it."""
-        to_ring = self.positions and not held.to_origin
+        to_ring = self.ring.positions and not held.to_origin
         server = self._choose(held) if to_ring else self._origin()
         if self.now >= held.until or (server is None or not self._permits(held, server)) and held.attempts:
             self._end(held)
@@ -496,7 +326,7 @@
 
     def _send(self, held: Held, server: Server) -> None:
         name = held.request.request
-        target = CACHE_TARGET if server.cache else ORIGIN_TARGET
+        target = tuning.CACHE_TARGET if server.cache else tuning.ORIGIN_TARGET
         attempt = Attempt(server, target * held.request_class.aim, self.now)
         self.attempts[name, len(held.attempts)] = attempt
         held.attempts.append(attempt)
@@ -539,7 +369,7 @@
         self._serve_queue()
         if not last.open or held.waiting or held.streaming:
             return
-        late = self.now - last.sent_at >= self._overdue_after(last.server) - ROUNDING
+        late = self.now - last.sent_at >= self._overdue_after(last.server) - tuning.ROUNDING
         if late and self.retries >= 1 and self._copy(held, last):
             return
         if not last.lost and (not late or held.to_origin):
@@ -603,7 +433,7 @@
         name = held.request.request
         origin = self._origin() if held.to_origin else None
         # by then what stood in its way is over; guards against clients that ask again while it is not
-        wait = origin.evidence.usual * (1 + len(self.queue) / origin.limit) if origin else self.wait
+        wait = origin.evidence.usual * (1 + len(self.line.queue) / origin.limit) if origin else self.wait
         come_back = min(self.settings.max_retry_after, wait)
         self.out.append(api.Refuse(name, come_back) if self._permits(held, None) else api.Fail(name))
         self._forget(held)
@@ -627,20 +457,21 @@
         verdict = attempt.server.evidence.judge(self.now, attempt.sent_at, event.status, event.latency)
         overdue = self._overdue_after(attempt.server)
         seldom = self._met_seldom()
-        late = 0 < overdue - ROUNDING <= self.now - attempt.sent_at
+        late = 0 < overdue - tuning.ROUNDING <= self.now - attempt.sent_at
         stalled = seldom and late and verdict is Verdict.STALLED
         if stalled or event.status not in UNHEARD:
             alone = stalled or seldom and event.status is api.Status.CONNECT_FAILED
-            self._note_failure(attempt.server, stalled or verdict is Verdict.FAILED, FAILURES if alone else 1)
+            failed = stalled or verdict is Verdict.FAILED
+            self._note_failure(attempt.server, failed, tuning.FAILURES if alone else 1)
         attempt.server.used_at = self.now
         lost = event.status is api.Status.CONNECT_FAILED
-        self.keep = self.keep / 2 if lost else self.keep + KEEP_GAIN * (KEEP - self.keep)
+        self.keep = self.keep / 2 if lost else self.keep + tuning.KEEP_GAIN * (tuning.KEEP - self.keep)
         self._close_idle(attempt.server)
         if attempt.server.cache and verdict not in (Verdict.NOTHING, Verdict.LOST):
             self.good += SMOOTHING * ((event.status in (api.Status.OK, api.Status.MISS)) - self.good)
             if verdict is Verdict.ANSWERED or verdict is Verdict.CROWDED:
                 self.wait += SMOOTHING * (event.latency / (1 + attempt.server.reported) - self.wait)
-        self._learn_limit(attempt, verdict, event.latency)
+        learn_limit(self.now, attempt, verdict, event.latency)
         held = self.held.get(event.request)
         if held is not None:
             if event.closed or event.status is api.Status.OK:
@@ -657,7 +488,7 @@
             held.missed.append(held.attempts[event.attempt].server)
         elif event.status is api.Status.ERROR and not self.settings.aside:
             held.until = self.now  # guards against a failing origin: each server tried fetches the key again
-        elif not held.to_origin and (event.status not in CHEAP or self.good < ROOM):
+        elif not held.to_origin and (event.status not in tuning.CHEAP or self.good < tuning.ROOM):
             # guards against feeding an overload: full servers made every request into a dozen attempts
             if self.retries < 1:
                 held.until = self.now
@@ -671,15 +502,10 @@
         """
         held.waiting = True
         self._wake_in_time(held)
+        if self.line.follows(held):
+            return
         key = held.request.key
-        if held.to_origin and not held.request.write and key is not None:
-            first, followers = self.fetches.setdefault(key, (held, []))
-            if first is not held:
-                followers.append(held)
-                return
-        self.queued += 1
-        often = self.seen.get(key, 0) if key is not None else 0
-        heapq.heappush(self.queue, (-held.request_class.worth, -often, self.queued, held))
+        self.line.push(held, self.popularity.seen.get(key, 0) if key is not None else 0)
         self._serve_queue()
 
     def _release(self, first: Held, served: bool) -> None:
@@ -688,11 +514,11 @@
         Guards the origin against one fetch for each request that misses while the first is out. What it was
         asked for is stored where the first missed; the others ask there, as no answer is made for two.
         """
-        key = first.request.key
-        if key is None or self.fetches.get(key, (None,))[0] is not first:
+        followers = self.line.release(first)
+        if not followers:
             return
-        _, followers = self.fetches.pop(key)
-        stored = [s for s in first.missed[:STORED] if self.servers.get(s.entry.server) is s and s.ready]
+        missed = first.missed[: tuning.STORED]
+        stored = [s for s in missed if self.servers.get(s.entry.server) is s and s.ready]
         for held in followers:
             if not held.waiting:
                 continue
@@ -716,24 +542,25 @@
         """
         if origin is None:
             return held.until
-        if origin.load < IDLE * origin.limit:
-            return held.until - origin.evidence.latencies.quantile(FAIR_CHANCE)
-        return held.until - (1.0 if held.request.write else FETCH_ROOM) * origin.evidence.usual
+        if origin.load < tuning.IDLE * origin.limit:
+            return held.until - origin.evidence.latencies.quantile(tuning.FAIR_CHANCE)
+        return held.until - (1.0 if held.request.write else tuning.FETCH_ROOM) * origin.evidence.usual
 
     def _pause_before_trial(self, origin: Server) -> float:
-        return origin.evidence.overdue_after() or UNKNOWN * self.shortest_aim
+        return origin.evidence.overdue_after() or tuning.UNKNOWN * self.shortest_aim
 
     def _has_place(self, origin: Server) -> bool:
         """Whether a fetch may go: below the limit, or as a trial when all that is out may be lost."""
         if origin.load < origin.limit:
             return True
-        return origin.evidence.trial_due(self.now + ROUNDING, self._pause_before_trial(origin))
+        return origin.evidence.trial_due(self.now + tuning.ROUNDING, self._pause_before_trial(origin))
 
     def _serve_queue(self) -> None:
-        while self.queue and (origin := self._origin()) is not None and self._has_place(origin):
-            held = heapq.heappop(self.queue)[-1]
-            if not held.waiting:
-                continue
+        line = self.line
+        while line.queue and (origin := self._origin()) is not None and self._has_place(origin):
+            held = line.pop()
+            if held is None:
+                break
             held.waiting = False
             # no fetch that can't be back in time, but for one to learn by
             in_time = self.now < (self._latest_start(held, origin) if origin.load else held.until)
@@ -741,34 +568,12 @@
                 self._send(held, origin)
             else:
                 self._end(held)
-        if self.now < self.swept_at + self.settings.tick:
+        if not line.sweep_due(self.now, self.settings.tick):
             return
-        self.swept_at = self.now  # not for each that comes: a long queue would cost more than what it holds
         # guards clients against waiting on for what can't be served any more: they may still ask again
         origin = self._origin()
-        late = [q[-1] for q in self.queue if q[-1].waiting and self.now >= self._latest_start(q[-1], origin)]
+        late = [q[-1] for q in line.queue if q[-1].waiting and self.now >= self._latest_start(q[-1], origin)]
         for held in late:
             if held.waiting:  # not ended meanwhile, with one whose fetch it followed
                 self._end(held)
-        # guards against requests long ended piling up behind those of more worth
-        self.queue = [q for q in self.queue if q[-1].waiting]
-        heapq.heapify(self.queue)
-
-    def _learn_limit(self, attempt: Attempt, verdict: Verdict, latency: float) -> None:
-        """Adapt what this router has out at a server: less when it is slow or full, else more.
-
-        Nothing else moves it: neither what is lost nor a stall says what a server bears.
-        """
-        server = attempt.server
-        if verdict not in (Verdict.ANSWERED, Verdict.CROWDED):
-            return
-        server.slowness += SMOOTHING * (min(OUTLIER, latency / attempt.target) - server.slowness)
-        if verdict is Verdict.CROWDED or server.slowness > 1.0:
-            if self.now - server.cut_at > attempt.target:
-                server.limit = max(1.0, server.limit * LIMIT_CUT)
-                server.cut_at = self.now
-            if verdict is Verdict.CROWDED:  # what is out there now is what it bears
-                server.limit = max(1.0, min(server.limit, server.load))
-        # bounds it from above, by twice what is out: room that nothing has tried proves nothing
-        elif server.load + 1 >= server.limit / 2:
-            server.limit += 1.0 if not server.cache and server.slowness < EASY else 1 / server.limit
+        line.compact()
--- /dev/null
+++ b/myrtlecourse/policy/tuning.py
@@ -0,0 +1,33 @@
+"""The numbers that decisions go by; `policy.NAME` in an experiment's plan is one of these."""
+
+from __future__ import annotations
+
+from myrtlecourse import interface as api
+
+POINTS = 128  # virtual nodes of a server as large as the unit of weight: shares within a tenth or so
+EPSILON = 0.25  # a server may stand this far above the average load before the walk passes it
+WALK = 64  # points a walk goes at most: no tour of the fleet for each request when all is crowded
+ROOM = 0.3  # of own attempts answered well: above it a refusal as full, being cheap, spends no retry
+CHEAP = (api.Status.FULL, api.Status.CONNECT_FAILED)  # they cost the fleet next to no work
+QUEUE = 0.25  # of the time left that may be spent waiting behind what a server is reported to hold
+SPILL = 2  # servers a key may visit: further on they lack it, and a crowd of hits would turn into misses
+LIMIT_START = 4.0  # first guess of what one router may have out at a server; moves within seconds
+FEW = 4  # routers that learn fast, and have a first guess each out at the origin; more share those
+CACHE_TARGET = 0.25  # of the aim: answers slower than this on average mean that too many are out
+ORIGIN_TARGET = 0.5  # the same for the origin, which is slow by nature
+UNKNOWN = 0.25  # of the shortest aim: how long a first answer may take before another attempt is tried
+ROUNDING = 1e-6  # seconds by which a timer may come early
+STORED = 2  # servers that lacked a key, at which a fetch stores it
+IDLE = 0.5  # of a limit: with less out than that there are places that nobody else wants
+FAIR_CHANCE = 0.2  # of an answer in time: worth a place that nobody else wants
+FETCH_ROOM = 2.0  # times the usual latency that must be left: a fetch given up midway is not even stored
+EASY = 0.25  # of the target: an origin that answers so fast gets twice as much within its latency
+LIMIT_CUT = 0.75  # soon enough to empty a crowded server within a few rounds; a tenth took many seconds
+RETRY_SHARE = 0.2  # retries for each request taken: enough for a server lost, too few to feed an overload
+RETRIES_SAVED = 10.0  # unspent retries kept, so that those of a lost server can all go at once
+SILENCE = 1.0  # shortest aims without any answer: longer than pauses, soon enough to matter
+KEEP = 0.5  # of the idle time at which a connection costs as much as the handshake it saves
+KEEP_GAIN = 0.01  # of the way back to KEEP with each answer, after failures have cut it by half each
+FAILURES = 3  # in a row take a server out: spoilt answers come one by one, those of a dead process together
+PAUSE = 0.5  # seconds out at first, doubled with each trial that fails; routers must not try in step
+MOST_OUT = 0.5  # share of the fleet; when more fails it is not the servers, and the others could not bear it
--- a/tests/test_expect.py
+++ b/tests/test_expect.py
@@ -26,7 +26,8 @@
     contradictions,
     read_expectations,
 )
-from myrtlecourse.policy import Held, Router, Server
+from myrtlecourse.policy import Router
+from myrtlecourse.policy.state import Held, Server
 from myrtlecourse.settings import read_settings
 from tests.loopback import needs_sources
 
