--- a/deploy/compiled.py
+++ b/deploy/compiled.py
@@ -16,7 +16,17 @@
 BUILDER = ROOT / "requirements-build.txt"
 KEPT = ROOT / "build" / "compiled"
 # that a router never imports, and whose libraries it does not install
-TOOLS = ("address/commands.py", "audit", "cli.py", "expect", "experiment", "fleet", "load", "sim")
+TOOLS = (
+    "address/commands.py",
+    "audit",
+    "cli.py",
+    "expect",
+    "experiment",
+    "fleet",
+    "load",
+    "sim",
+    "zones/commands.py",
+)
 
 
 def sources() -> list[Path]:
--- a/myrtlecourse/cli.py
+++ b/myrtlecourse/cli.py
@@ -11,6 +11,7 @@
     from myrtlecourse.fleet.commands import audit, fleet
     from myrtlecourse.load.commands import load
     from myrtlecourse.sim.commands import search, sim
+    from myrtlecourse.zones.commands import fleet_status
 except ImportError as e:  # the plain router installs none of the tools' libraries
     raise SystemExit(
         f"myrtlecourse: the tools need {e.name}, which is missing: install myrtlecourse[tools]"
@@ -29,6 +30,7 @@
 main.add_command(load)
 main.add_command(fleet)
 main.add_command(audit)
+main.add_command(fleet_status)
 main.add_command(sim)
 main.add_command(search)
 main.add_command(experiment)
--- a/myrtlecourse/fleet/ways.py
+++ b/myrtlecourse/fleet/ways.py
@@ -7,12 +7,15 @@
 
 import asyncio
 import random
+import socket
 from collections.abc import Iterable
+from contextlib import suppress
 from typing import cast
 
 from myrtlecourse.fleet.faults import Step
 
 Way = tuple[str, str]  # from whom to whom
+PORTS = (10_000, 30_000)
 
 
 class Ways:
@@ -80,6 +83,25 @@
             self.transport.sendto(data, there)
 
 
+def places(names: Iterable[str]) -> dict[str, tuple[str, int]]:
+    """An address for each router to hear the others at, free just now.
+
+    Below the ports that the system gives out by itself: one of those would be another's by the time that the
+    router listens.
+    """
+    chance, probes, found = random.SystemRandom(), [], {}
+    for name in names:
+        while name not in found:
+            probe = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+            probes.append(probe)
+            with suppress(OSError):
+                probe.bind(("127.0.0.1", chance.randrange(*PORTS)))
+                found[name] = probe.getsockname()
+    for probe in probes:
+        probe.close()
+    return found
+
+
 class Relays:
     """A socket for each way."""
 
--- a/myrtlecourse/zones/core.py
+++ b/myrtlecourse/zones/core.py
@@ -20,6 +20,8 @@
 
 ORIGIN = "\0origin"  # the origin's zone, which no other can be named
 LATELY = PERIOD * SHORT  # seconds for which a record's short counts say how things stand
+RECENT = 8.0  # and where there is no hurry
+ALONE = 2.0  # seconds for which others reach what this router does not: then it is this one
 FRESH = 2.5  # the same of its longer ones
 TRIALS_A_SECOND = 2.0  # of the routers of a zone together, at a zone that is out
 CALM = 20.0  # seconds back, after which leaving again is not flapping
@@ -72,7 +74,8 @@
         self.fleet = 1
         self.given = api.ZonesLeft()
         self.changes: list[Change] = []
-        self.alone: set[int] = set()  # zones that only this router can't reach
+        self.doubted: dict[int, float] = {}  # zones that others reach and this router does not: since when
+        self.alone: set[int] = set()  # those of them for long enough
 
     def zones(self, names: Iterable[str]) -> None:
         """The zones that lists have named."""
@@ -170,7 +173,7 @@
         for record in self.records:
             age = now - record.made_at
             if age <= FRESH:
-                for zone, tally in self.read.get(record.owner, (record, {}))[1].items():
+                for zone, tally in self._told_by(record).items():
                     found.setdefault(zone, []).append(
                         (record.zone, tally if age <= LATELY else tally.longer())
                     )
@@ -182,7 +185,7 @@
         standing = register.standing if register is not None else Standing()
         near = [t for home, t in tallies if home == self.home]
         everyone = [t for _, t in tallies]
-        self._look_alone(now, zone, near)
+        self._look_alone(now, zone)
         own, all_of = verdict.added(near), verdict.added(everyone)
         if not standing.out:
             shown = verdict.left(own, all_of, self.members.get(self.home, 1), self.fleet)
@@ -207,21 +210,31 @@
         far: list[Tally] = []
         for record in self.records:
             if record.made_at >= since and now - record.made_at <= FRESH:
-                tally = self.read.get(record.owner, (record, {}))[1].get(zone, Tally())
+                tally = self._told_by(record).get(zone, Tally())
                 (near if record.zone == self.home else far).append(tally)
         own = verdict.added_long(near)
         return verdict.light(own) or (not own.bad and verdict.light(verdict.added_long(near + far)))
 
-    def _look_alone(self, now: float, zone: int, near: list[Tally]) -> None:
+    def _told_by(self, record: Record) -> dict[int, Tally]:
+        return self.read.get(record.owner, (record, {}))[1]
+
+    def _look_alone(self, now: float, zone: int) -> None:
         """Whether it is this router that can't reach a zone, and not the zone that can't be reached."""
         mine = self.counts.tallies(now).get(zone, Tally())
-        own, others = verdict.added([mine]), verdict.added_short(t for t in near if t != mine)
-        alone = own.bad >= verdict.TRIALS and own.share >= verdict.DARK and verdict.light(others)
-        if alone and zone not in self.alone:
+        if mine.run < verdict.TRIALS or zone in self._left():
+            self.doubted.pop(zone, None)
+            self.alone.discard(zone)
+            return
+        near = [r for r in self.records if r.zone == self.home and now - r.made_at <= RECENT]
+        others = verdict.added_long(self._told_by(r).get(zone, Tally()) for r in near)
+        if not others.total:
+            return
+        if not verdict.light(others):
+            self.doubted.pop(zone, None)
+            self.alone.discard(zone)
+        elif now - self.doubted.setdefault(zone, now) >= ALONE and zone not in self.alone:
             self.alone.add(zone)
             self._note(zone, "out of reach from this router alone: others of its zone reach it")
-        elif not alone:
-            self.alone.discard(zone)
 
     @staticmethod
     def _why(seen: Sum, own: bool) -> str:
--- a/myrtlecourse/zones/evidence.py
+++ b/myrtlecourse/zones/evidence.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, replace
+from dataclasses import astuple, dataclass, fields, replace
 
 from myrtlecourse.interface import Reach
 
@@ -14,7 +14,7 @@
 SHORT = 2  # periods: enough where a fleet sends much
 LONG = 8  # periods: where it sends little
 MOST = 127  # of each count told: one byte
-TOLD = 9  # bytes of a tally that is told: its zone's number and six counts
+RUN = 4.0  # seconds after the last attempt that did not come through, in which a run of them says something
 MOST_ZONES = 16  # told in a record
 
 
@@ -28,6 +28,7 @@
     heard_long: int = 0
     refused_long: int = 0
     silent_long: int = 0
+    run: int = 0  # that did not come through since the last one that did
 
     @property
     def bad(self) -> int:
@@ -43,8 +44,11 @@
 
     def numbers(self) -> tuple[int, ...]:
         """As they are told."""
-        each = (self.heard, self.refused, self.silent, self.heard_long, self.refused_long, self.silent_long)
-        return tuple(min(MOST, n) for n in each)
+        return tuple(min(MOST, n) for n in astuple(self))
+
+
+COUNTS = 1 + len(fields(Tally))  # numbers of a tally that is told: its zone's, and its own
+TOLD = 2 + COUNTS  # bytes that they take
 
 
 class Counts:
@@ -53,6 +57,7 @@
     def __init__(self, now: float) -> None:
         self.period = int(now / PERIOD)
         self.zones: dict[int, list[list[int]]] = {}  # by zone: LONG periods of heard, refused, silent
+        self.runs: dict[int, tuple[int, float]] = {}  # by zone: how long, and when the last one was
 
     def _advance(self, now: float) -> None:
         """Begin a new period for each that is over."""
@@ -69,20 +74,29 @@
         self._advance(now)
         periods = self.zones.setdefault(zone, [[0, 0, 0] for _ in range(LONG)])
         periods[0][(Reach.HEARD, Reach.REFUSED, Reach.SILENT).index(reach)] += 1
+        if reach is Reach.HEARD:
+            self.runs.pop(zone, None)
+        else:
+            # guards against what each router does by itself: it leaves servers out before it has tried enough
+            self.runs[zone] = self.runs.get(zone, (0, now))[0] + 1, now
 
     def tallies(self, now: float) -> dict[int, Tally]:
         """The sums of each zone of which anything is known."""
         self._advance(now)
         found = {}
-        for zone, periods in self.zones.items():
+        self.runs = {zone: run for zone, run in self.runs.items() if now - run[1] <= RUN}
+        for zone in self.zones.keys() | self.runs.keys():
+            periods = self.zones.get(zone, [])
             short = [sum(p[i] for p in periods[:SHORT]) for i in range(3)]
             long = [sum(p[i] for p in periods) for i in range(3)]
-            found[zone] = Tally(*short, *long)
+            run = self.runs.get(zone, (0, now))[0]
+            found[zone] = Tally(short[0], short[1], short[2], long[0], long[1], long[2], run)
         return found
 
     def clear(self) -> None:
         """What was counted is not to be believed."""
         self.zones.clear()
+        self.runs.clear()
 
 
 def told(tallies: dict[int, Tally], room: int) -> tuple[int, ...]:
@@ -97,8 +111,8 @@
 
 def heard(numbers: tuple[int, ...]) -> tuple[dict[int, Tally], tuple[int, ...]]:
     """The tallies of a record, and the numbers after them; none of one that can't be read."""
-    if not numbers or numbers[0] > MOST_ZONES or len(numbers) < 1 + 7 * numbers[0]:
+    end = 1 + COUNTS * numbers[0] if numbers else 0
+    if not numbers or numbers[0] > MOST_ZONES or len(numbers) < end:
         return {}, ()
-    end = 1 + 7 * numbers[0]
-    rows = [numbers[i : i + 7] for i in range(1, end, 7)]
+    rows = [numbers[i : i + COUNTS] for i in range(1, end, COUNTS)]
     return {row[0]: Tally(*(min(MOST, n) for n in row[1:])) for row in rows}, numbers[end:]
--- a/myrtlecourse/zones/verdict.py
+++ b/myrtlecourse/zones/verdict.py
@@ -52,6 +52,9 @@
     refused: int = 0
     silent: int = 0
     witnesses: int = 0  # routers whose attempts did not come through
+    run: int = 0  # that did not since the last one that did, at each of them
+    runners: int = 0  # routers to which nothing came through since
+    lately: int = 0  # that came through in the latest time
 
     @property
     def bad(self) -> int:
@@ -82,6 +85,7 @@
         sum(t.refused for t in each),
         sum(t.silent for t in each),
         sum(t.bad > 0 for t in each),
+        *runs(each),
     )
 
 
@@ -93,13 +97,24 @@
         sum(t.refused_long for t in each),
         sum(t.silent_long for t in each),
         sum(t.bad_long > 0 for t in each),
+        *runs(each),
     )
 
 
+def runs(tallies: list[Tally]) -> tuple[int, int, int]:
+    """How many attempts in a row did not come through, at how many routers, and how many did lately."""
+    each = [t.run for t in tallies if t.run]
+    return sum(each), len(each), sum(t.heard for t in tallies)
+
+
 def dark(seen: Sum, members: int) -> bool:
     """Whether nothing comes through, by enough routers of `members`."""
-    enough = seen.bad >= ENOUGH and seen.witnesses >= min(WITNESSES, members)
-    return enough and seen.share >= DARK
+    needed = min(WITNESSES, members)
+    if seen.bad >= ENOUGH and seen.witnesses >= needed and seen.share >= DARK:
+        return True
+    # few attempts, as each router has left the servers out by itself: nothing came through since, and to
+    # nobody
+    return seen.run >= ENOUGH and seen.runners >= needed and not seen.lately
 
 
 def light(seen: Sum) -> bool:
