--- a/myrtlecourse/zones/evidence.py
+++ b/myrtlecourse/zones/evidence.py
@@ -14,6 +14,7 @@
 SHORT = 2  # periods: enough where a fleet sends much
 LONG = 8  # periods: where it sends little
 MOST = 127  # of each count told: one byte
+UNKNOWN = -1  # run, of a record that is no news any more
 RUN = 4.0  # seconds after the last attempt that did not come through, in which a run of them says something
 MOST_ZONES = 16  # told in a record
 
@@ -40,7 +41,7 @@
 
     def longer(self) -> Tally:
         """Without what it says of the latest time, which is over."""
-        return replace(self, heard=0, refused=0, silent=0)
+        return replace(self, heard=0, refused=0, silent=0, run=UNKNOWN)
 
     def numbers(self) -> tuple[int, ...]:
         """As they are told."""
--- a/myrtlecourse/zones/verdict.py
+++ b/myrtlecourse/zones/verdict.py
@@ -54,7 +54,8 @@
     witnesses: int = 0  # routers whose attempts did not come through
     run: int = 0  # that did not since the last one that did, at each of them
     runners: int = 0  # routers to which nothing came through since
-    lately: int = 0  # that came through in the latest time
+    others: int = 0  # routers to which the last one did
+    lately: int = 0  # attempts that came through in the latest time
 
     @property
     def bad(self) -> int:
@@ -101,10 +102,12 @@
     )
 
 
-def runs(tallies: list[Tally]) -> tuple[int, int, int]:
-    """How many attempts in a row did not come through, at how many routers, and how many did lately."""
-    each = [t.run for t in tallies if t.run]
-    return sum(each), len(each), sum(t.heard for t in tallies)
+def runs(tallies: list[Tally]) -> tuple[int, int, int, int]:
+    """How many attempts in a row did not come through, at how many routers; at how many the last one did, and
+    how many did lately."""
+    each = [t.run for t in tallies if t.run > 0]
+    others = sum(t.run == 0 and (t.heard_long > 0 or t.heard > 0) for t in tallies)
+    return sum(each), len(each), others, sum(t.heard for t in tallies)
 
 
 def dark(seen: Sum, members: int) -> bool:
@@ -114,7 +117,8 @@
         return True
     # few attempts, as each router has left the servers out by itself: nothing came through since, and to
     # nobody
-    return seen.run >= ENOUGH and seen.runners >= needed and not seen.lately
+    most = seen.runners >= needed and seen.runners >= DARK * (seen.runners + seen.others)
+    return seen.run >= ENOUGH and most and not seen.lately
 
 
 def light(seen: Sum) -> bool:
