--- a/myrtlecourse/peers/gossip.py
+++ b/myrtlecourse/peers/gossip.py
@@ -127,11 +127,14 @@
             return State.ALIVE
         return State.SUSPECTED if age <= pause * (1 + GONE) else State.GONE
 
-    def alive(self, now: float) -> Counter[int]:
-        """How many members are there, by their zones; this router is one."""
+    def present(self, now: float) -> Counter[int]:
+        """How many members there are, by their zones, those suspected among them; this router is one.
+
+        Guards what needs several witnesses: with the others forgotten too soon, one alone would do.
+        """
         found = Counter({self.zone: 1})
         for member in self.heard_by:
-            if member.record is not None and self.state(member, now) is State.ALIVE:
+            if member.record is not None and self.state(member, now) is not State.GONE:
                 found[member.record.zone] += 1
         return found
 
--- a/myrtlecourse/policy/router.py
+++ b/myrtlecourse/policy/router.py
@@ -169,11 +169,6 @@
                 continue
             if self.retries >= 1:  # guards what is out there: none of it will be answered
                 self._copy(held, last)
-        if order.origin:
-            for held in self.line.take_all():
-                if held.waiting:
-                    held.waiting = False
-                    self._end(held)
 
     def _mark_left(self) -> None:
         """Nothing new to servers of zones that are left; those of zones that are back begin anew."""
@@ -455,7 +450,7 @@
         if late and self.watch is not None and not last.overdue and self._quiet(last):
             last.overdue = True
             entry = last.server.entry
-            self.watch.ended(self.now, entry.zone, not last.server.cache, api.Reach.SILENT)
+            self.watch.ended(self.now, entry.zone, False, api.Reach.SILENT)
         if late and self.retries >= 1 and self._copy(held, last):
             return
         if not last.lost and (not late or held.to_origin):
@@ -464,10 +459,12 @@
     def _quiet(self, attempt: Attempt) -> bool:
         """Whether nothing has come from its server since it was sent, for longer than others take.
 
-        Guards against caches that have only told quickly what they lack: their first hits look overdue.
+        Guards against caches that have only told quickly what they lack: their first hits look overdue; and
+        against an origin that is slow, of which a router of many has one answer to wait for: not out of
+        reach.
         """
         server = attempt.server
-        long = not server.cache or self.now - attempt.sent_at >= OVERDUE * self.wait
+        long = server.cache and self.now - attempt.sent_at >= OVERDUE * self.wait
         return long and server.evidence.quiet_since <= attempt.sent_at
 
     def _copy(self, held: Held, last: Attempt) -> bool:
@@ -608,9 +605,6 @@
 
         Then keys that are asked for often, whose fetch saves the most others; then age.
         """
-        if held.to_origin and not self._origin_in_reach():
-            self._end(held)
-            return
         held.waiting = True
         self._wake_in_time(held)
         if self.line.follows(held):
@@ -659,6 +653,10 @@
         """
         if origin is None:
             return held.until
+        if self.leaving is not None and self.leaving.order.origin:
+            # it may be back soon, and an answer after that is worth more than a refusal now; but not for long
+            whole = min(held.request.time_left, held.request_class.aim)
+            return held.until - (1 - tuning.LEFT_WAIT) * whole
         if origin.load < tuning.IDLE * origin.limit:
             return held.until - origin.evidence.latencies.quantile(tuning.FAIR_CHANCE)
         return held.until - (1.0 if held.request.write else tuning.FETCH_ROOM) * origin.evidence.usual
@@ -668,6 +666,9 @@
 
     def _has_place(self, origin: Server) -> bool:
         """Whether a fetch may go: below the limit, or as a trial when all that is out may be lost."""
+        leaving = self.leaving
+        if leaving is not None and leaving.order.origin:
+            return leaving.origin_trial(self.now)  # guards the rest: each would dial in vain
         if self.now < origin.out_until:
             return False
         if origin.load < origin.limit:
--- a/myrtlecourse/policy/tuning.py
+++ b/myrtlecourse/policy/tuning.py
@@ -34,4 +34,5 @@
 SPILL_SAVED = 16.0  # requests that may move to survivors at once, when a zone is left
 SPILL_KEPT = 0.5  # of those, for requests of the most worth
 LEFT_PAUSE = 0.25  # seconds after which clients of what is left may come back: another router may reach it
-RETURN_SPREAD = 1.0  # seconds over which routers begin to ask an origin again that is back in reach
+LEFT_WAIT = 0.4  # of a request's time, for which it may wait for an origin that is out of reach
+RETURN_SPREAD = 0.5  # seconds over which routers begin to ask an origin again that is back in reach
--- a/myrtlecourse/zones/agent.py
+++ b/myrtlecourse/zones/agent.py
@@ -74,7 +74,7 @@
         if gossip.stalls != self.stalls:
             self.stalls = gossip.stalls
             zones.stood_still(now)
-        members = gossip.alive(now)
+        members = gossip.present(now)
         if zones.tick(now, gossip.records(now), members, gossip.believes and members.total() > 1):
             gossip.stir(now)
         order = zones.given if zones.given != self.given else None
--- a/myrtlecourse/zones/verdict.py
+++ b/myrtlecourse/zones/verdict.py
@@ -17,6 +17,8 @@
 LIGHT = 0.6  # share that came through: the zone is back
 ENOUGH = 5  # attempts that say anything, of the fleet's or a zone's routers together
 TRIALS = 3  # that came through: back
+IN_A_ROW = 2  # that came through lately and none that did not: back as well
+DOUBTS = 2  # in a row at one router are a run: one alone comes late now and then
 WITNESSES = 2  # routers that must have seen it: one alone may be the one that is cut off
 CONTRADICTED = 0.5  # of one's own attempts come through: what others say of the zone does not hold here
 HOLD = 2.0  # seconds out at least, doubled each time that it is left again
@@ -56,6 +58,7 @@
     runners: int = 0  # routers to which nothing came through since
     others: int = 0  # routers to which the last one did
     lately: int = 0  # attempts that came through in the latest time
+    heard_long: int = 0  # and in the longer one
 
     @property
     def bad(self) -> int:
@@ -102,12 +105,13 @@
     )
 
 
-def runs(tallies: list[Tally]) -> tuple[int, int, int, int]:
+def runs(tallies: list[Tally]) -> tuple[int, int, int, int, int]:
     """How many attempts in a row did not come through, at how many routers; at how many the last one did, and
     how many did lately."""
-    each = [t.run for t in tallies if t.run > 0]
+    each = [t.run for t in tallies if t.run >= DOUBTS]
     others = sum(t.run == 0 and (t.heard_long > 0 or t.heard > 0) for t in tallies)
-    return sum(each), len(each), others, sum(t.heard for t in tallies)
+    lately, longer = sum(t.heard for t in tallies), sum(t.heard_long for t in tallies)
+    return sum(each), len(each), others, lately, longer
 
 
 def dark(seen: Sum, members: int) -> bool:
@@ -122,10 +126,17 @@
 
 
 def light(seen: Sum) -> bool:
-    """Whether enough comes through again."""
+    """Whether enough comes through."""
     return seen.heard >= TRIALS and seen.heard >= LIGHT * seen.total
 
 
+def back(tallies: Iterable[Tally]) -> bool:
+    """Whether enough comes through again, by counts of after a zone was left."""
+    each = list(tallies)
+    lately = added_short(each)
+    return (lately.heard >= IN_A_ROW and not lately.bad) or light(added_long(each))
+
+
 def look(seen: Sum) -> Look:
     """A word for it."""
     if seen.total < ENOUGH:
@@ -145,7 +156,8 @@
     """
     if dark(own, members):
         return own
-    return everyone if own.heard < TRIALS and dark(everyone, fleet) else None
+    unknown = own.heard < TRIALS and (own.runners > 0 or not own.heard_long)
+    return everyone if unknown and dark(everyone, fleet) else None
 
 
 @dataclass(slots=True, frozen=True)
