--- a/bench/zone_exit.py
+++ b/bench/zone_exit.py
@@ -80,7 +80,7 @@
         "faults": faults(case),
     }
     if peers:
-        plain["peers"] = {"loss": 0.01, "spread": 0.002}
+        plain["peers"] = {"loss": 0.01, "spread": 0.002, "leave_origin": True}
     return msgspec.convert(plain, Scenario)
 
 
--- a/myrtlecourse/address/commands.py
+++ b/myrtlecourse/address/commands.py
@@ -15,6 +15,7 @@
 UNREACHED = 2  # exit code when there was no answer
 NO = 1  # when the answer was no
 TIMEOUT = 2.0  # seconds
+LONGEST_ANSWER = 1024 * 1024  # bytes; a thousand routers are told in less
 
 
 def call(at: str, method: str, path: str) -> tuple[int, str]:
@@ -26,9 +27,9 @@
     try:
         connection.request(method, f"/control/{path}")
         response = connection.getresponse()
-        return response.status, response.read(65536).decode(errors="replace").strip()
+        return response.status, response.read(LONGEST_ANSWER).decode(errors="replace").strip()
     except (OSError, http.client.HTTPException) as e:
-        click.echo(f"myrtlecourse address: {at}: {e}", err=True)
+        click.echo(f"myrtlecourse: {at}: {e}", err=True)
         sys.exit(UNREACHED)
     finally:
         connection.close()
--- a/myrtlecourse/fleet/scenario.py
+++ b/myrtlecourse/fleet/scenario.py
@@ -90,6 +90,7 @@
     delay: Time = 0.0005
     spread: Time = 0.0  # more than that at most: datagrams pass one another
     spill: Annotated[float, Meta(ge=1.0, le=100.0)] = 3.0  # of the routers' `[fleet]`
+    leave_origin: bool = False
     interval: Positive = 1.0
 
 
--- a/myrtlecourse/fleet/session.py
+++ b/myrtlecourse/fleet/session.py
@@ -77,7 +77,10 @@
     if not key.exists():
         key.write_bytes(os.urandom(32))
     path = folder / f"{name}.toml"
-    path.write_text(f'[fleet]\nkey_file = "{key}"\nspill = {peers.spill}\ninterval = {peers.interval}\n')
+    path.write_text(
+        f'[fleet]\nkey_file = "{key}"\nspill = {peers.spill}\n'
+        f"leave_origin = {str(peers.leave_origin).lower()}\ninterval = {peers.interval}\n"
+    )
     return path
 
 
--- a/myrtlecourse/operators.py
+++ b/myrtlecourse/operators.py
@@ -90,6 +90,7 @@
     spill: Annotated[float, Meta(ge=1.0, le=100.0)] = (
         3.0  # times what survivors of a zone got, that they get at most
     )
+    leave_origin: bool = False  # where clients that are refused come to routers of other zones
     interval: Annotated[float, Meta(ge=0.1, le=60.0)] = 1.0  # seconds between words when all is calm
     bytes_a_second: Annotated[float, Meta(ge=256.0, le=1e9)] = 16_384.0
 
--- a/myrtlecourse/sim/meeting.py
+++ b/myrtlecourse/sim/meeting.py
@@ -45,7 +45,9 @@
     def join(self, router: SimRouter) -> Agent:
         """A router's process has started."""
         names = tuple(self.routers)
-        part = Part(router.name, names, router.zone, KEY, self.told.spill, self.told.interval)
+        part = Part(
+            router.name, names, router.zone, KEY, self.told.spill, self.told.leave_origin, self.told.interval
+        )
         agent = self.make(part, self.core.now, self.wall(), self.chance.getrandbits(32))
         self.core.after(PACE * self.chance.random(), self._tick, router, agent, router.life)
         return agent
--- a/myrtlecourse/zones/agent.py
+++ b/myrtlecourse/zones/agent.py
@@ -26,6 +26,7 @@
     zone: str
     key: bytes
     spill: float = 3.0
+    leave_origin: bool = False
     interval: float = 1.0  # seconds between words when all is calm
     budget: float = 16_384.0  # bytes a second
 
@@ -48,7 +49,7 @@
         self.gossip = Gossip(
             part.name, part.members, part.zone, part.key, now, wall, seed, part.interval, part.budget
         )
-        self.zones = Zones(part.name, part.zone, now, part.spill)
+        self.zones = Zones(part.name, part.zone, now, part.spill, part.leave_origin)
         self.given = self.zones.given
         self.stalls = 0
 
--- a/myrtlecourse/zones/core.py
+++ b/myrtlecourse/zones/core.py
@@ -59,12 +59,15 @@
 class Zones:
     """One router's part."""
 
-    def __init__(self, name: str, zone: str, now: float, spill: float = 3.0) -> None:
+    def __init__(
+        self, name: str, zone: str, now: float, spill: float = 3.0, leave_origin: bool = True
+    ) -> None:
         """`spill` times what the survivors of a zone were sent is what they are sent at most when it
         is left."""
         self.me = ident(name)
         self.home = ident(zone, 2)
         self.spill = spill
+        self.leave_origin = leave_origin  # else it is looked at and told, and asked as ever
         self.names: dict[int, str] = {self.home: zone, ident(ORIGIN, 2): ORIGIN}
         self.counts = Counts(now)
         self.unbelieved_until = -math.inf
@@ -298,7 +301,7 @@
         before = self.given
         if abs(every - before.trial_every) <= 0.25 * before.trial_every:
             every = before.trial_every  # a router that comes or goes is no new order
-        order = api.ZonesLeft(zones, origin in numbers, forced, self.spill, every)
+        order = api.ZonesLeft(zones, self.leave_origin and origin in numbers, forced, self.spill, every)
         if order != before and (order.zones or order.origin or before.zones or before.origin):
             self.given = order
 
--- a/myrtlecourse/zones/setup.py
+++ b/myrtlecourse/zones/setup.py
@@ -39,7 +39,16 @@
         return None
     try:
         key = read_key(Path(table.key_file), "fleet.key_file")
-        part = Part(name, tuple(peers), zone, key, table.spill, table.interval, table.bytes_a_second)
+        part = Part(
+            name,
+            tuple(peers),
+            zone,
+            key,
+            table.spill,
+            table.leave_origin,
+            table.interval,
+            table.bytes_a_second,
+        )
         agent = Agent(part, clock(), time.time(), random.SystemRandom().getrandbits(32))
     except ValueError as e:
         raise ConfigError(str(e) if isinstance(e, ConfigError) else f"fleet: {e}") from e
--- a/tests/test_ops_calls.py
+++ b/tests/test_ops_calls.py
@@ -25,6 +25,9 @@
         (sent("PUT", "/control/cache-servers/s%2F1%20%C3%A9/online"), Call(Kind.ONLINE, "s/1 é")),
         (sent("PUT", "/control/cache-servers/s-1/online?now"), Call(Kind.ONLINE, "s-1")),
         (sent("PUT", "/control/in-service", "Content-Length: 2") + b"{}", Call(Kind.IN_SERVICE)),
+        (sent("GET", "/control/fleet"), Call(Kind.FLEET)),
+        (sent("PUT", "/control/zones/a%20b/out?seconds=30"), Call(Kind.ZONE_OUT, "a b", 30.0)),
+        (sent("PUT", "/control/zones/a/in"), Call(Kind.ZONE_IN, "a")),
     ],
 )
 def test_a_call_is_known_whole_and_cut_anywhere(data: bytes, call: Call) -> None:
@@ -45,6 +48,11 @@
         (sent("PUT", "/control/cache-servers//offline"), 400),
         (sent("PUT", "/control/cache-servers/%FF/offline"), 400),
         (sent("PUT", f"/control/cache-servers/{'x' * (MAX_NAME + 1)}/offline"), 400),
+        (sent("PUT", "/control/zones/a"), 404),
+        (sent("PUT", "/control/zones/a/out?seconds=0"), 400),
+        (sent("PUT", "/control/zones/a/out?seconds=1e9"), 400),
+        (sent("PUT", "/control/zones/a/in?for=5"), 400),
+        (sent("GET", "/control/zones/a/out"), 405),
         (sent("POST", "/control/ready"), 405),
         (sent("GET", "/control/cache-servers/s-1/offline"), 405),
         (sent("GET", "/control/ready", "X: " + "x" * (MAX_HEAD + MAX_BODY)), 431),
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -2,20 +2,29 @@
 
 from __future__ import annotations
 
+import json
+import subprocess
+import sys
 from dataclasses import replace
 from itertools import permutations
+from pathlib import Path
+from typing import Any
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from myrtlecourse import interface as api
+from myrtlecourse.config import Config, ConfigError, read_config
 from myrtlecourse.interface import Reach
+from myrtlecourse.operators import read_operators
 from myrtlecourse.peers.records import ROOM, Record, width
 from myrtlecourse.peers.seal import ident
+from myrtlecourse.peers.speaker import Speaker
 from myrtlecourse.zones import verdict
 from myrtlecourse.zones.core import FRESH, ORIGIN, TRIALS_A_SECOND, UNBELIEVED, Zones, ZonesError
 from myrtlecourse.zones.evidence import LONG, PERIOD, RUN, Counts, Tally, heard, told
+from myrtlecourse.zones.setup import speaker
 from myrtlecourse.zones.verdict import ALL, HOLD, Look, Order, Standing, Sum
 from tests.driver import Driver, entry
 from tests.driver import settings as conf
@@ -466,3 +475,86 @@
         d.end(f"q{i}", status)
     assert [reach for _, _, reach in told_of[:4]] == [Reach.HEARD, Reach.REFUSED, Reach.REFUSED, Reach.HEARD]
     assert {zone for zone, _, _ in told_of} <= {"north", "south"} and not any(o for _, o, _ in told_of)
+
+
+# Its place in the operators' file
+
+
+GOOD = """
+[fleet]
+key_file = "KEY"
+name = "a"
+zone = "north"
+peers = [{name = "a", at = "127.0.0.1:7001"}, {name = "b", at = "127.0.0.1:7002"}]
+"""
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "said"),
+    [
+        ("[fleet]", "[flet]", "flet"),
+        ("zone =", "zones =", "zones"),
+        ('zone = "north"', "", "zone"),
+        ('name = "a"\nzone', 'name = "x"\nzone', "x is not among them"),
+        ("127.0.0.1:7002", "127.0.0.1:7001", "stands twice"),
+        ("127.0.0.1:7002", "127.0.0.1:70020", "port"),
+        ('zone = "north"', 'zone = "north"\nspill = 0.5', "spill"),
+        ('zone = "north"', 'zone = "north"\ninterval = "x"', "interval"),
+        ('zone = "north"', 'zone = "north"\nbytes_a_second = 10', "bytes_a_second"),
+    ],
+)
+def test_a_file_that_can_t_hold_is_named_with_its_place(
+    old: str, new: str, said: str, tmp_path: Path
+) -> None:
+    path = tmp_path / "router.toml"
+    path.write_text(GOOD)
+    table = read_operators(path).fleet
+    assert table is not None and table.spill == 3.0
+    path.write_text(GOOD.replace(old, new))
+    with pytest.raises(ConfigError, match=said) as told_of:
+        read_operators(path)
+    assert "router.toml" in str(told_of.value)
+
+
+def config(talk: bool, **more: Any) -> Config:
+    settings = {"classes": [{"name": "read"}], "zone": "north", "me": 1, "limits": {"peers": talk}}
+    known = {"index": 1, "snapshot": True, "endpoints": []}
+    plain = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "seed": "1", "known": known}
+    return read_config(json.dumps(plain | {"settings": settings} | more).encode())
+
+
+def test_routers_talk_only_where_the_settings_allow_it_or_the_file_names_them(tmp_path: Path) -> None:
+    key = tmp_path / "key"
+    key.write_bytes(b"a common key of routers")
+    path = tmp_path / "router.toml"
+    path.write_text(f'[fleet]\nkey_file = "{key}"\n')
+    table = read_operators(path).fleet
+    assert table is not None
+    there = {"peer_listen": "127.0.0.1:7", "peers": ["127.0.0.1:6", "127.0.0.1:7"]}
+
+    def made(conf: Config) -> Speaker | None:
+        assert table is not None
+        return speaker(table, conf, lambda: 0.0, lambda event: None)
+
+    assert made(config(False, **there)) is None and made(config(True)) is None
+    end = made(config(True, **there))
+    assert end is not None
+    assert (end.agent.part.name, end.agent.part.zone, end.bind) == ("1", "north", ("127.0.0.1", 7))
+    path.write_text(GOOD.replace("KEY", str(key)))
+    table = read_operators(path).fleet
+    end = made(config(False))
+    assert end is not None and end.bind == ("127.0.0.1", 7001) and set(end.peers) == {"a", "b"}
+    key.write_bytes(b"short")
+    with pytest.raises(ConfigError, match="fleet"):
+        made(config(False))
+    with pytest.raises(ConfigError, match=r"peers\[0\]"):
+        config(True, peer_listen="127.0.0.1:7", peers=["here"])
+
+
+def test_without_the_file_nothing_of_it_is_loaded() -> None:
+    code = (
+        "import sys, myrtlecourse.__main__; print([m for m in sys.modules if m.startswith('myrtlecourse')])"
+    )
+    loaded = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout
+    assert "policy.router" in loaded
+    assert not any(f"myrtlecourse.{part}" in loaded for part in ("peers", "zones", "operators", "address"))
