--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -278,3 +278,25 @@
     for number in (0, 127, 128, 255, 256, 65_535, 65_536, 2**32 - 1, 2**32):
         assert len(msgspec.msgpack.encode(number)) == width(number)
     assert ROOM < LONGEST and started(EPOCH) == 1 and STALL > PACE
+
+
+def test_clocks_that_run_apart_by_a_few_percent_change_nothing() -> None:
+    group = Group(6)
+    rates = dict(zip(group.names, (0.98, 1.02, 1.0, 0.98, 1.02, 1.0), strict=True))
+    ticks = {name: gossip.tick for name, gossip in group.each.items()}
+    takes = {name: gossip.receive for name, gossip in group.each.items()}
+    for name, gossip in group.each.items():
+        rate = rates[name]
+        gossip.tick = lambda now, wall, say, t=ticks[name], r=rate: t(now * r, wall, say)  # type: ignore[method-assign,misc]
+        gossip.receive = lambda data, now, wall, t=takes[name], r=rate: t(data, now * r, wall)  # type: ignore[method-assign,misc]
+    group.run(300.0)
+    for name, gossip in group.each.items():
+        states = [gossip.state(m, group.now * rates[name]) for m in gossip.members.values()]
+        assert states == [State.ALIVE] * 6
+
+
+def test_another_version_is_dropped_and_counted() -> None:
+    group = Group(2)
+    datagram = Seal("r1", KEY).pack("r1", [99, 1, 1, 1, 1, []])
+    with pytest.raises(Dropped, match="version"):
+        group.each["r1"].receive(datagram, group.now, WALL)
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -10,17 +10,22 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from myrtlecourse import interface as api
 from myrtlecourse.config import Config, ConfigError, read_config
+from myrtlecourse.fleet.scenario import Scenario
 from myrtlecourse.interface import Reach
+from myrtlecourse.load.profile import Profile
 from myrtlecourse.operators import read_operators
 from myrtlecourse.peers.records import ROOM, Record, width
 from myrtlecourse.peers.seal import ident
 from myrtlecourse.peers.speaker import Speaker
+from myrtlecourse.policy import Router
+from myrtlecourse.sim.world import World
 from myrtlecourse.zones import verdict
 from myrtlecourse.zones.core import FRESH, ORIGIN, TRIALS_A_SECOND, UNBELIEVED, Zones, ZonesError
 from myrtlecourse.zones.evidence import LONG, PERIOD, RUN, Counts, Tally, heard, told
@@ -28,6 +33,7 @@
 from myrtlecourse.zones.verdict import ALL, HOLD, Look, Order, Standing, Sum
 from tests.driver import Driver, entry
 from tests.driver import settings as conf
+from tests.loopback import needs_sources
 
 counts = st.integers(0, 20)
 tallies = st.builds(Tally, counts, counts, counts, counts, counts, counts, counts)
@@ -477,6 +483,83 @@
     assert {zone for zone, _, _ in told_of} <= {"north", "south"} and not any(o for _, o, _ in told_of)
 
 
+# Whole fleets in virtual time, with the same modules
+
+
+def world(faults: list[dict[str, Any]], **changes: Any) -> World:
+    plain = {
+        "seconds": 14.0,
+        "routers": 12,
+        "zones": ["north", "south", "west", "east"],
+        "delay": 0.002,
+        "kinds": [{"name": "std", "boxes": 12, "cores": 4, "cold": 0.5, "warm_up": 2}],
+        "origin": {"slots": 24, "time": 0.02, "queue": 100},
+        "discovery": {"notice": 60.0, "silent_notice": 60.0},
+        "classes": [{"name": "read", "work": 0.02, "aim": 0.5, "deadline": 1.5}],
+        "rules": {"zone_dials": 20.0, "zone_spill": 3.0},
+        "peers": {"loss": 0.3, "copies": 0.2, "spread": 0.02},
+        "faults": faults,
+    }
+    load = {
+        "pieces": [{"seconds": 13.0, "rate": 300}],
+        "classes": [{"name": "read", "aim": 0.5, "deadline": 1.5}],
+    }
+    told_of = msgspec.convert(plain | changes, Scenario)
+    return World(told_of, msgspec.convert(load | {"keys": {"count": 200}}, Profile))
+
+
+def last_left(played: World) -> dict[str, frozenset[str]]:
+    meeting = played.routers[0].meeting
+    assert meeting is not None
+    return {who: zones for _, who, zones, _ in meeting.orders}
+
+
+def test_two_zones_at_once_are_left_and_one_with_its_routers_and_the_list_s_silence() -> None:
+    lasting = {"at": 4.0, "seconds": 20.0}
+    faults = [{"what": "crash", "zone": z, **lasting} for z in ("south", "west")]
+    faults.append({"what": "discovery_away", **lasting})
+    played = world(faults)
+    result = played.run()
+    assert result.verdict["kept"], result.verdict["named"]
+    assert set(last_left(played).values()) == {frozenset({"south", "west"})}
+
+
+def test_half_a_zone_or_a_slow_one_is_left_by_nobody() -> None:
+    boxes = [f"std-{i}" for i in range(12) if i % 4 == 1]
+    faults = [{"what": "slow", "at": 4.0, "box": box, "seconds": 6.0, "factor": 0.3} for box in boxes]
+    faults.append({"what": "crash", "at": 4.0, "box": "std-0", "seconds": 20.0})
+    played = world(faults)
+    result = played.run()
+    assert result.verdict["kept"], result.verdict["named"]
+    assert not any(last_left(played).values())
+
+
+def test_a_fleet_of_one_zone_has_nowhere_to_go_and_stays() -> None:
+    played = world([{"what": "crash", "zone": "north", "at": 4.0, "seconds": 3.0}], zones=["north"])
+    result = played.run()
+    assert result.verdict["breaches"]["lost"] == 0 and result.verdict["breaches"]["late"] == 0
+    assert result.record.all.counts["served"] > 0.6 * result.record.all.counts["scheduled"]
+
+
+class Deaf(Router):
+    """Broken on purpose: hears of no order."""
+
+    def handle(self, now: float, event: api.Event) -> list[api.Action]:
+        return [] if isinstance(event, api.ZonesLeft) else super().handle(now, event)
+
+
+@needs_sources
+def test_a_fleet_that_goes_on_trying_a_dark_zone_is_caught() -> None:
+    faults = [{"what": "crash", "zone": "south", "at": 2.0, "seconds": 20.0}]
+    played = world(faults, rules={"zone_dials": 30.0}, routers=40)
+    assert played.run().verdict["breaches"]["stayed"] == 0
+    wrong = world(faults, rules={"zone_dials": 30.0}, routers=40)
+    for router in wrong.routers:
+        router.make = Deaf
+        router.start(list(wrong.layout.entries.values()))
+    assert wrong.run().verdict["breaches"]["stayed"] > 0
+
+
 # Its place in the operators' file
 
 
