--- a/myrtlecourse/experiment/store.py
+++ b/myrtlecourse/experiment/store.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import sqlite3
+import time
 from collections.abc import Iterable
 from pathlib import Path
 from typing import Any
@@ -22,6 +23,10 @@
 """
 
 
+OPENINGS = 50
+PAUSE = 0.05  # seconds between two
+
+
 class StoreError(ValueError):
     """A file that holds no results; the message names it."""
 
@@ -34,12 +39,24 @@
             raise StoreError(f"{path}: no such file")
         try:
             self.base = sqlite3.connect(path, isolation_level=None)
-            # a write is out before the next begins, and a reader sees no half of one
-            self.base.execute("pragma journal_mode = wal")
-            self.base.execute(SCHEMA)
+            self._prepare()
         except sqlite3.DatabaseError as e:
             raise StoreError(f"{path}: {e}") from e
 
+    def _prepare(self) -> None:
+        """Guards against two that open a new file at once: the change to a log ahead does not wait its
+        turn."""
+        for left in reversed(range(OPENINGS)):
+            try:
+                # a write is out before the next begins, and a reader sees no half of one
+                self.base.execute("pragma journal_mode = wal")
+                self.base.execute(SCHEMA)
+                return
+            except sqlite3.OperationalError:
+                if not left:
+                    raise
+                time.sleep(PAUSE)
+
     def known(self) -> set[str]:
         """The digests that need not be run."""
         return {row[0] for row in self.base.execute("select digest from results")}
