Prefer zones by tiers, reload [fleet] and keys, and witness a dark zone by most failures

Need: routers asked all zones alike; [fleet], new keys and the link of the address waited for a restart; router.py and net/host.py had two jobs.

Change: zones/tiers.py (own zone, own region, others; each router's part of the bound on what survivors get), event Preferred, weights on the ring; a walk past a zone that is left goes further; SIGHUP takes [fleet] whole and the address's keys and link; also_key_files, so that a new key goes round in three steps. policy/router.py is members.py, walk.py, router.py, net/host.py gave taken.py and members.py.

--- a/myrtlecourse/address/keeper.py
+++ b/myrtlecourse/address/keeper.py
@@ -41,6 +41,7 @@
         able: Callable[[], bool],
         held: Callable[[bool], None],
         emptied: Callable[[], Awaitable[None]],
+        also: tuple[bytes, ...] = (),
     ) -> None:
         """`able` says whether clients could be served here; `held` hears when the address comes and goes.
 
@@ -57,7 +58,8 @@
         self.emptied = emptied
         self.leaving: asyncio.Task[None] | None = None
         self.words = Words(link)
-        self.wire = Wire(settings.name, settings.voters, key, chance.getrandbits(62) + 1, ElectionCodec())
+        start = chance.getrandbits(62) + 1
+        self.wire = Wire(settings.name, settings.voters, key, start, ElectionCodec(), also)
         self.election = Election(settings, saved, time.monotonic(), chance.getrandbits(32))
         self.loop: asyncio.AbstractEventLoop
         self.transport: asyncio.DatagramTransport | None = None
--- a/myrtlecourse/address/setup.py
+++ b/myrtlecourse/address/setup.py
@@ -32,6 +32,19 @@
     return key
 
 
+def keys(table: Address) -> tuple[bytes, tuple[bytes, ...]]:
+    """The key to seal with, and those that are taken as well. Raises ConfigError."""
+    also = (read_key(Path(file), "address.also_key_files") for file in table.also_key_files)
+    return read_key(Path(table.key_file)), tuple(also)
+
+
+def link(table: Address) -> Link:
+    """Where the address is announced."""
+    if table.switch is not None:
+        return SwitchLink(address_of(table.switch), table.name, table.link_timeout)
+    return CommandLink(table.command, table.link_timeout)
+
+
 def keeper(
     table: Address,
     able: Callable[[], bool],
@@ -54,13 +67,8 @@
                 f"address.votes_file: {e}; remove it to begin anew, a lease after the last start"
             ) from e
     peers = {p.name: address_of(p.at) for p in table.peers}
-    link: Link
-    if table.switch is not None:
-        link = SwitchLink(address_of(table.switch), table.name, table.link_timeout)
-    else:
-        link = CommandLink(table.command, table.link_timeout)
+    key, also = keys(table)
     try:
-        key = read_key(Path(table.key_file))
-        return Keeper(table.election(), peers, key, link, votes, saved, able, held, emptied)
+        return Keeper(table.election(), peers, key, link(table), votes, saved, able, held, emptied, also)
     except ValueError as e:
         raise ConfigError(f"address.key_file: {e}") from e
--- a/myrtlecourse/audit/auditor.py
+++ b/myrtlecourse/audit/auditor.py
@@ -51,6 +51,7 @@
     fall_window: Positive = 1.0
     must_ask: Positive = 10.0  # a router that neither watches nor asks for so long counts as told
     zone_dials: Time = 0.0  # a second, of the fleet at a zone long dark; 0: not judged
+    zone_sends: Positive = 60.0  # of a router, after which it has met each zone; more where it prefers some
     zone_spill: Time = 0.0  # times what survivors of a zone got, that they may get; 0: not judged
 
 
@@ -136,7 +137,7 @@
         self.began: float | None = None
         self.now = 0.0
         self.stalls: dict[str, list[tuple[float, float]]] = {}  # of each router's process
-        self.zones = ZoneRules(rules.zone_dials, rules.zone_spill, self._breach_of_zone)
+        self.zones = ZoneRules(rules.zone_sends, rules.zone_dials, rules.zone_spill, self._breach_of_zone)
 
     def take(self, what: seen.Observation) -> None:
         """Judge one observation; none may be much older than those before it."""
--- a/myrtlecourse/config.py
+++ b/myrtlecourse/config.py
@@ -12,7 +12,7 @@
 from myrtlecourse import interface as api
 from myrtlecourse.net.command import MAX_GATHERED
 from myrtlecourse.net.discovery import ListError, read_list
-from myrtlecourse.net.host import Member
+from myrtlecourse.net.members import Member
 from myrtlecourse.net.pool import MAX_PASSED, address_of
 from myrtlecourse.settings import number, read_settings, rows, section
 
--- a/myrtlecourse/fleet/scenario.py
+++ b/myrtlecourse/fleet/scenario.py
@@ -92,6 +92,9 @@
     spill: Annotated[float, Meta(ge=1.0, le=100.0)] = 3.0  # of the routers' `[fleet]`
     leave_origin: bool = False
     interval: Positive = 1.0
+    regions: dict[str, tuple[str, ...]] = {}  # zones, by the region's name
+    own_region: Share = 1.0
+    elsewhere: Share = 1.0
 
 
 class Freeze(Struct, forbid_unknown_fields=True, frozen=True, tag="freeze", tag_field="what"):
--- a/myrtlecourse/fleet/session.py
+++ b/myrtlecourse/fleet/session.py
@@ -80,6 +80,8 @@
     path.write_text(
         f'[fleet]\nkey_file = "{key}"\nspill = {peers.spill}\n'
         f"leave_origin = {str(peers.leave_origin).lower()}\ninterval = {peers.interval}\n"
+        f"own_region = {peers.own_region}\nelsewhere = {peers.elsewhere}\n[fleet.regions]\n"
+        + "".join(f"{region} = {json.dumps(zones)}\n" for region, zones in peers.regions.items())
     )
     return path
 
--- a/myrtlecourse/interface.py
+++ b/myrtlecourse/interface.py
@@ -9,6 +9,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from enum import Enum
 from typing import Protocol
@@ -279,8 +280,8 @@
     def ended(self, now: float, zone: str, origin: bool, reach: Reach) -> None:
         """An attempt at a server of a zone, or at the origin, has ended or is long overdue; told once."""
 
-    def listed(self, zones: set[str]) -> None:
-        """The zones of the cache servers in the list; told by the host."""
+    def listed(self, zones: Mapping[str, int]) -> None:
+        """How many cache servers the list names in each zone; told by the host."""
 
 
 @dataclass(slots=True, frozen=True)
@@ -300,6 +301,16 @@
     trial_every: float = 0.5
 
 
+@dataclass(slots=True, frozen=True)
+class Preferred:
+    """How gladly each zone's cache servers are asked: the share of its size that counts for placing keys.
+
+    A zone that is not named counts whole.
+    """
+
+    weights: Mapping[str, float]  # over 0
+
+
 Event = (
     ServerList
     | ListMoved
@@ -308,6 +319,7 @@
     | Serving
     | Retuned
     | ZonesLeft
+    | Preferred
     | Request
     | Streaming
     | Outcome
--- a/myrtlecourse/net/discovery.py
+++ b/myrtlecourse/net/discovery.py
@@ -11,8 +11,8 @@
 import orjson
 
 from myrtlecourse import interface as api
-from myrtlecourse.net.host import Member
 from myrtlecourse.net.http import HttpClient, HttpError
+from myrtlecourse.net.members import Member
 from myrtlecourse.net.pool import address_of
 
 STATES = {"in_service": api.State.READY, "terminating": api.State.DRAINING, "terminated": api.State.GONE}
--- a/myrtlecourse/net/host.py
+++ b/myrtlecourse/net/host.py
@@ -8,16 +8,16 @@
 import logging
 import math
 import time
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Callable
-from dataclasses import dataclass
-from typing import Protocol
 
 from myrtlecourse import interface as api
 from myrtlecourse.net.command import Command, CommandError
 from myrtlecourse.net.connection import Exchange
+from myrtlecourse.net.members import Member
 from myrtlecourse.net.pool import Pool
-from myrtlecourse.net.timers import Timer, Timers
+from myrtlecourse.net.taken import Attempt, Reply, Taken
+from myrtlecourse.net.timers import Timers
 from myrtlecourse.net.turns import Turns
 from myrtlecourse.policy import Router
 
@@ -46,96 +46,6 @@
     return b"-BUSY %d\r\n" % pause if pause else b"-BUSY\r\n"
 
 
-class Reply(Protocol):
-    """Where a request's one answer goes: whole, or a long value as it comes."""
-
-    def fill(self, answer: bytes) -> None:
-        """The whole answer."""
-
-    def begin(self, length: int, source: Exchange) -> None:
-        """A value of so many bytes begins; its source can be paused."""
-
-    def piece(self, data: bytes) -> None:
-        """The next bytes of it."""
-
-    def end(self) -> None:
-        """It is whole."""
-
-    def cut(self) -> None:
-        """It will never be whole, and the client must be able to tell."""
-
-
-class Attempt:
-    """One send of a request that has had no outcome yet."""
-
-    __slots__ = ("begun_at", "exchange", "host", "number", "sent_at", "taken", "timer")
-
-    def __init__(self, host: Host, taken: Taken, sent_at: float) -> None:
-        self.host = host
-        self.taken = taken
-        self.number = taken.sent
-        self.sent_at = sent_at
-        self.begun_at = 0.0  # of a long answer
-        self.exchange: Exchange | None = None
-        self.timer: Timer | None = None
-
-    def done(self, status: api.Status, value: bytes) -> None:
-        self.host.finish(self.taken, self, status, value)
-
-    def begin(self, length: int, source: Exchange) -> bool:
-        return self.host.begin(self.taken, self, length, source)
-
-    def piece(self, data: bytes) -> None:
-        if not self.taken.closed:
-            self.taken.reply.piece(data)
-
-
-class Taken:
-    """A request, kept until nothing is owed for it and nothing of it is out."""
-
-    __slots__ = (
-        "attempts",
-        "closed",
-        "command",
-        "deadline",
-        "expiry",
-        "name",
-        "overdue",
-        "reply",
-        "sent",
-        "settings",
-        "streaming",
-    )
-
-    def __init__(
-        self, name: str, command: Command, settings: api.Settings, deadline: float, reply: Reply
-    ) -> None:
-        self.name = name
-        self.settings = settings  # that it began under
-        self.command = command
-        self.deadline = deadline
-        self.reply = reply
-        self.expiry: Timer | None = None
-        self.sent = 0  # attempts, whatever became of them
-        self.closed = False  # answered, or its client is gone
-        self.overdue = False
-        self.streaming: Attempt | None = None  # whose answer is passed on as it comes
-        self.attempts: dict[int, Attempt] = {}
-
-
-@dataclass(slots=True, frozen=True)
-class Member:
-    """A cache server or origin of this router's own list."""
-
-    entry: api.ServerEntry
-    address: str
-
-    @property
-    def process(self) -> tuple[str, float]:
-        """What tells it from another at the same address, and from itself before a restart."""
-        return self.entry.server, self.entry.since
-
-
 class Host:
     """One router and what it has going on."""
 
@@ -272,7 +182,8 @@
 
     def _tell_zones(self) -> None:
         if self.router.watch is not None:
-            self.router.watch.listed({m.entry.zone for m in self.members.values() if not self._is_origin(m)})
+            zones = (m.entry.zone for m in self.members.values() if not self._is_origin(m))
+            self.router.watch.listed(Counter(zones))
 
     def _is_origin(self, member: Member) -> bool:
         return self.settings.aside and member.entry.kind == self.settings.origin_kind
--- a/myrtlecourse/operators.py
+++ b/myrtlecourse/operators.py
@@ -17,6 +17,7 @@
 
 Seconds = Annotated[float, Meta(gt=0.0, le=3600.0)]
 Endpoint = Annotated[str, Meta(pattern=r"^[^:\s]+:[0-9]{1,5}$")]
+Weight = Annotated[float, Meta(ge=0.02, le=1.0)]  # less would leave a tier of which nobody knows anything
 Name = Annotated[str, Meta(min_length=1, max_length=64, pattern=r"^[!-~]+$")]
 
 
@@ -33,6 +34,8 @@
     name: Name
     peers: Annotated[tuple[Peer, ...], Meta(min_length=1, max_length=15)]  # itself too; most preferred first
     key_file: str
+    # taken as well, and never sealed with: so that a new key can go from voter to voter
+    also_key_files: Annotated[tuple[str, ...], Meta(max_length=2)] = ()
     votes_file: str | None = None  # none: an instance waits out a lease after each start, and forgets
     heartbeat: Seconds = 0.5
     lease: Seconds = 2.0
@@ -91,10 +94,20 @@
         3.0  # times what survivors of a zone got, that they get at most
     )
     leave_origin: bool = False  # where clients that are refused come to routers of other zones
+    # zones, by the region's name; how gladly servers of the own region and of all others are asked beside
+    # those of the own zone, which count 1
+    regions: Annotated[dict[Name, Annotated[tuple[Name, ...], Meta(max_length=64)]], Meta(max_length=64)] = {}
+    own_region: Weight = 1.0
+    elsewhere: Weight = 1.0
+    # taken as well, and never sealed with: so that a new key can go from router to router
+    also_key_files: Annotated[tuple[str, ...], Meta(max_length=2)] = ()
     interval: Annotated[float, Meta(ge=0.1, le=60.0)] = 1.0  # seconds between words when all is calm
     bytes_a_second: Annotated[float, Meta(ge=256.0, le=1e9)] = 16_384.0
 
     def __post_init__(self) -> None:
+        zones = [zone for each in self.regions.values() for zone in each]
+        if len(set(zones)) < len(zones):
+            raise ValueError("regions: a zone stands twice")
         if not self.peers:
             if self.name is not None or self.zone is not None or self.listen is not None:
                 raise ValueError("name, zone and listen go with `peers`")
--- a/myrtlecourse/peers/gossip.py
+++ b/myrtlecourse/peers/gossip.py
@@ -77,16 +77,13 @@
         seed: int,
         interval: float = 1.0,
         budget: float = 16_384.0,
+        also: tuple[bytes, ...] = (),
     ) -> None:
         """`wall` is the Unix time; `interval` seconds lie between words when all is calm, `budget` bytes go
         out a second at most. Raises ValueError for a roster or a key that can't be used."""
-        if name not in members or len(set(members)) < len(members) or len(members) > MOST_MEMBERS:
-            raise ValueError(f"members: {name} must be among them, each once, {MOST_MEMBERS} at most")
-        self.members = {ident(m): Member(m) for m in members}
-        if len(self.members) < len(members):
-            raise ValueError("members: two names look alike in a datagram; rename one")
-        self.seal = Seal(name, key)
         self.name = name
+        self.members = {i: Member(m) for i, m in self._roster(members).items()}
+        self.seal = Seal(name, key, also)
         self.me = ident(name)
         self.zone = ident(zone, 2)
         self.random = random.Random(seed)
@@ -104,6 +101,23 @@
         self.bytes_sent = 0
         self.dropped: Counter[str] = Counter()
 
+    def _roster(self, members: tuple[str, ...]) -> dict[int, str]:
+        if self.name not in members or len(set(members)) < len(members) or len(members) > MOST_MEMBERS:
+            raise ValueError(f"members: {self.name} must be among them, each once, {MOST_MEMBERS} at most")
+        roster = {ident(m): m for m in members}
+        if len(roster) < len(members):
+            raise ValueError("members: two names look alike in a datagram; rename one")
+        return roster
+
+    def change(
+        self, members: tuple[str, ...], key: bytes, also: tuple[bytes, ...], interval: float, budget: float
+    ) -> None:
+        """Other members, keys and paces; raises ValueError where they can't be used, and takes none then."""
+        roster = self._roster(members)
+        self.seal.change(key, also)
+        self.members = {i: self.members.get(i, Member(name)) for i, name in roster.items()}
+        self.interval, self.budget = interval, budget
+
     @property
     def heard_by(self) -> list[Member]:
         return [m for i, m in self.members.items() if i != self.me]
--- a/myrtlecourse/peers/seal.py
+++ b/myrtlecourse/peers/seal.py
@@ -30,20 +30,31 @@
 class Seal:
     """Seals and opens datagrams with the key that all have in common."""
 
-    def __init__(self, name: str, key: bytes) -> None:
-        """`name` is the receiver's own. Raises ValueError when the key is too short."""
-        if len(key) < LEAST_KEY:
-            raise ValueError(f"the key has {len(key)} bytes, {LEAST_KEY} are the least")
+    def __init__(self, name: str, key: bytes, also: tuple[bytes, ...] = ()) -> None:
+        """`name` is the receiver's own. Raises ValueError when a key is too short."""
         self.name = name
+        self.change(key, also)
+
+    def change(self, key: bytes, also: tuple[bytes, ...]) -> None:
+        """Seal with a key from now on, and take what is sealed with it or with one of the others.
+
+        A new key goes round in three steps, each at all routers before the next: taken as well, sealed with
+        while the old one is taken as well, alone. Raises ValueError when one is too short.
+        """
+        for each in (key, *also):
+            if len(each) < LEAST_KEY:
+                raise ValueError(f"the key has {len(each)} bytes, {LEAST_KEY} are the least")
         self.key = key
+        self.keys = (key, *also)
 
-    def _over(self, to: str, body: bytes) -> bytes:
-        return hmac.digest(self.key, to.encode() + b"\0" + body, "sha256")[:SEAL]
+    @staticmethod
+    def _over(key: bytes, to: str, body: bytes) -> bytes:
+        return hmac.digest(key, to.encode() + b"\0" + body, "sha256")[:SEAL]
 
     def pack(self, to: str, parts: list[Any]) -> bytes:
         """A datagram for `to`."""
         body = msgspec.msgpack.encode(parts)
-        return self._over(to, body) + body
+        return self._over(self.key, to, body) + body
 
     def open(self, data: bytes, count: int, version: int) -> list[Any]:
         """The parts of a datagram for this process: `count` of them, the first of them the version.
@@ -54,7 +65,8 @@
         if not SEAL < len(data) <= LONGEST:
             raise Dropped("of a length that none has")
         # before anything of it is read: what is not sealed with the key was made by anybody
-        if not hmac.compare_digest(data[:SEAL], self._over(self.name, data[SEAL:])):
+        seals = [self._over(key, self.name, data[SEAL:]) for key in self.keys]
+        if not any(hmac.compare_digest(data[:SEAL], seal) for seal in seals):
             raise Dropped("forged or cut")
         try:
             parts = msgspec.msgpack.decode(data[SEAL:])
--- a/myrtlecourse/peers/speaker.py
+++ b/myrtlecourse/peers/speaker.py
@@ -13,7 +13,7 @@
 from myrtlecourse.net.logs import BoundedLog
 from myrtlecourse.peers.gossip import PACE
 from myrtlecourse.peers.seal import Dropped
-from myrtlecourse.zones.agent import Agent
+from myrtlecourse.zones.agent import Agent, Part
 
 AGAIN = 0.2  # seconds until listening is tried again, where the process before this one still does
 log = logging.getLogger(__name__)
@@ -72,12 +72,13 @@
         done = self.agent.tick(self.clock(), time.time())
         for change in done.changes:
             log.info("zone %s: %s", change.zone, change.text)
-        if done.order is not None:
-            left = sorted(done.order.zones) + (["the origin"] if done.order.origin else [])
+        if done.left is not None:
+            left = sorted(done.left.zones) + (["the origin"] if done.left.origin else [])
             if left != self.left:
                 log.info("zones left: %s", ", ".join(left) or "none")
             self.left = left
-            self.post(done.order)
+        for event in done.events:
+            self.post(event)
         if self.transport is not None:
             for datagram in done.datagrams:
                 self.transport.sendto(datagram.data, self.peers[datagram.to])
@@ -91,6 +92,13 @@
     def error_received(self, exc: Exception) -> None:
         bounded.log(logging.INFO, "another router was not reached: %s", exc)
 
+    def change(self, part: Part, peers: dict[str, Endpoint]) -> None:
+        """Take another part, as operators have it now. Raises ValueError; then nothing is taken."""
+        if part.name in self.peers and peers[part.name] != self.peers[part.name]:
+            raise ValueError("a router can't be heard elsewhere while it runs")
+        self.agent.change(part)
+        self.peers = peers
+
     def close(self) -> None:
         """Say no more, and leave the address to the process that follows."""
         for task in self.running:
--- a/myrtlecourse/peers/wire.py
+++ b/myrtlecourse/peers/wire.py
@@ -50,10 +50,16 @@
     """One end."""
 
     def __init__(
-        self, name: str, members: tuple[str, ...], key: bytes, start: int, codec: Codec[Message]
+        self,
+        name: str,
+        members: tuple[str, ...],
+        key: bytes,
+        start: int,
+        codec: Codec[Message],
+        also: tuple[bytes, ...] = (),
     ) -> None:
         """`start` is a random number of this process, over 0. Raises ValueError when the key is too short."""
-        self.seal = Seal(name, key)
+        self.seal = Seal(name, key, also)
         self.name = name
         self.start = start
         self.codec = codec
--- a/myrtlecourse/policy/leaving.py
+++ b/myrtlecourse/policy/leaving.py
@@ -34,7 +34,9 @@
 
     def stays(self) -> None:
         """A request goes to a survivor that it would have gone to anyway: others may follow in proportion."""
-        self.credit = min(tuning.SPILL_SAVED, self.credit + self.order.spill - 1.0)
+        gain = self.order.spill - 1.0
+        # where few stay, many move between two of them
+        self.credit = min(max(tuning.SPILL_SAVED, tuning.SPILL_ROUNDS * gain), self.credit + gain)
 
     def moves(self, worth: float, most: float) -> bool:
         """Whether a request that has lost its server may go to a survivor; `most` is the worth of the best.
--- a/myrtlecourse/policy/ring.py
+++ b/myrtlecourse/policy/ring.py
@@ -6,7 +6,7 @@
 import math
 import struct
 from bisect import bisect_left
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from myrtlecourse.policy import tuning
 from myrtlecourse.policy.state import Server
@@ -42,8 +42,13 @@
         self.owners.update({p: (server, (j + 0.5) / count) for j, p in enumerate(server.points)})
         return server.points
 
-    def build(self, servers: Iterable[Server], caches: list[Server], live_weights: bool) -> None:
-        """Give each ready cache server its points; where weights are `live`, by its kind's largest."""
+    def build(
+        self, servers: Iterable[Server], caches: list[Server], live_weights: bool, zones: Mapping[str, float]
+    ) -> None:
+        """Give each ready cache server its points; where weights are `live`, by its kind's largest.
+
+        Of those in `zones` only such a share counts.
+        """
         for s in caches:
             s.size = s.entry.weight
             if live_weights:
@@ -51,6 +56,9 @@
                 kind = s.entry.kind
                 s.size = self.sizes[kind] = max(self.sizes.get(kind, 0.0), s.size)
                 s.reported = s.size / s.entry.weight - 1 if s.entry.weight else 0.0
+        if zones:
+            for s in caches:
+                s.size = (s.size or 1.0) * zones.get(s.entry.zone, 1.0)
         largest = max((s.size for s in caches), default=0.0) or 1.0  # and what a missing weight counts as
         unit = 2.0 ** math.ceil(math.log2(largest))  # rarely changes with the fleet
         fresh: set[int] = set()
--- a/myrtlecourse/policy/router.py
+++ b/myrtlecourse/policy/router.py
@@ -1,28 +1,21 @@
 """Every decision of a myrtlecourse router, as a state machine without I/O.
 
 The types, events and actions it speaks in are in `myrtlecourse/interface.py`.
-
-Each key is hashed onto a ring of weighted virtual nodes and sent to the first server clockwise; the walk
-goes on past servers whose load has reached (1 + epsilon) times the average.
 """
 
 from __future__ import annotations
 
-import math
-import random
-
 from myrtlecourse import interface as api
-from myrtlecourse.evidence import OVERDUE, SMOOTHING, UNHEARD, Verdict, reach
+from myrtlecourse.evidence import SMOOTHING, UNHEARD, Verdict, reach
 from myrtlecourse.policy import tuning
-from myrtlecourse.policy.learning import learn_limit, note_failure
+from myrtlecourse.policy.learning import learn_limit
 from myrtlecourse.policy.leaving import Leaving
 from myrtlecourse.policy.line import Line
-from myrtlecourse.policy.popularity import Popularity
-from myrtlecourse.policy.ring import Ring
 from myrtlecourse.policy.state import Attempt, Held, Server
+from myrtlecourse.policy.walk import Walk
 
 
-class Router:
+class Router(Walk):
     """The decisions of one router."""
 
     def __init__(
@@ -33,31 +26,15 @@
         door: api.Door | None = None,
         watch: api.Watch | None = None,
     ) -> None:
-        self.settings = settings
+        super().__init__(settings, seed, now)
         self.door = door
         self.watch = watch
-        self.leaving: Leaving | None = None  # zones that the fleet has left
-        self.shortest_aim = min(c.aim for c in settings.classes.values())
-        self.random = random.Random(seed)
-        self.now = now
-        self.out: list[api.Action] = []
         self.wanted = True  # new requests
-        self.servers: dict[str, Server] = {}
-        self.banned: set[str] = set()  # by operators, listed or not
-        self.returned: dict[str, float] = {}  # when they gave one back, while it may still be cold
-        self.ring = Ring()
-        self.popularity = Popularity(now)
         self.held: dict[str, Held] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}
         self.line = Line()  # for the origin, or any server
-        self.list_failures = 0
         self.retries = tuning.RETRIES_SAVED
-        self.born = now
-        self.taken = 0  # requests, since birth
         self.keep = tuning.KEEP
-        self._build_ring()
-        self.wait = 0.0  # smoothed latency for each request held a unit of size, the one in hand included
-        self.good = 1.0  # smoothed share of attempts at caches that were answered well
 
     def turn_away(
         self,
@@ -95,17 +72,17 @@
         elif isinstance(event, api.ListMoved):
             self.list_failures = 0  # guards against waiting out the pause that another discovery earned
             self._subscribe()
-        elif isinstance(event, api.Offline):
-            self.banned.add(event.server)
-            self._mark(event.server)
-        elif isinstance(event, api.Online):
-            self._on_online(event)
+        elif isinstance(event, (api.Offline, api.Online)):
+            self._on_operator(event)
         elif isinstance(event, api.Serving):
             self.wanted = event.wanted
         elif isinstance(event, api.Retuned):
             self._on_retuned(event.settings)
         elif isinstance(event, api.ZonesLeft):
             self._on_zones(event)
+        elif isinstance(event, api.Preferred):
+            self.weights = event.weights
+            self._build_ring()
         elif isinstance(event, api.ClientGone) and event.request in self.held:
             self._forget(self.held[event.request])
         elif isinstance(event, api.Streaming) and event.request in self.held:
@@ -121,14 +98,12 @@
                 if attempt.open and other != number:
                     self.out.append(api.Cancel(held.request.request, other))
 
-    def _mark(self, name: str) -> None:
-        """Set whether a listed server is banned, and give its points to the others, or back to it."""
-        if (server := self.servers.get(name)) is not None:
-            server.banned = server.cache and name in self.banned
-            self._build_ring()
-
-    def _on_online(self, event: api.Online) -> None:
+    def _on_operator(self, event: api.Offline | api.Online) -> None:
         """Begin anew with a server that operators give back; once is enough, whatever was called before."""
+        if isinstance(event, api.Offline):
+            self.banned.add(event.server)
+            self._mark(event.server)
+            return
         self.banned.discard(event.server)
         ramp = self.settings.ramp
         self.returned = {name: at for name, at in self.returned.items() if self.now < at + ramp}
@@ -170,52 +145,11 @@
             if self.retries >= 1:  # guards what is out there: none of it will be answered
                 self._copy(held, last)
 
-    def _mark_left(self) -> None:
-        """Nothing new to servers of zones that are left; those of zones that are back begin anew."""
-        leaving = self.leaving
-        meant = {s for s in self.caches if leaving is not None and leaving.meant(s.entry)}
-        if len(meant) == len(self.caches):
-            meant.clear()  # with nothing left to go to, staying is no worse
-        for server in self.caches:
-            left = server in meant
-            if left and not server.left:
-                server.left, server.out_until = True, math.inf
-            elif server.left and not left:
-                server.left, server.failures, server.pause = False, 0, 0.0
-                server.out_until = self.now + self.random.random() * tuning.PAUSE  # not all routers at once
-                server.limit = min(server.limit, tuning.LIMIT_START)
-
-    def _ask_origin_again(self) -> None:
-        """Guards an origin that is back in reach: all routers would ask it for all that they lack at once."""
-        for origin in self.origins:
-            origin.limit = 1.0
-            pause = self.random.random() * tuning.RETURN_SPREAD
-            origin.out_until = self.now + pause
-            self.out.append(api.SetTimer(pause + tuning.ROUNDING, "origin"))
-
     def _on_list(self, event: api.ServerList) -> None:
         if event.kind is api.ListKind.FAILED:
             self._ask_list_later()
             return
-        if event.kind is not api.ListKind.DELTA:
-            for i in self.servers.keys() - {e.server for e in event.entries}:
-                self._drop(i)
-        early = 0
-        for entry in event.entries:
-            known = self.servers.get(entry.server)
-            if entry.state is api.State.GONE:
-                self._drop(entry.server)
-            elif known is None or entry.since > known.entry.since:  # a new process: nothing learned holds
-                self._drop(entry.server)
-                self._admit(entry)
-                early += entry.since > self.now
-            else:
-                known.entry = entry
-        if early:
-            self.out.append(api.Log(f"list: servers that start in the future, taken as started now: {early}"))
-        self._build_ring()
-        if self.leaving is not None:
-            self._mark_left()
+        self._take_list(event)
         if event.kind is not api.ListKind.SAVED:
             self.list_failures = 0
         else:
@@ -229,138 +163,6 @@
                 held.waiting = False
                 self._advance(held)
 
-    def _subscribe(self) -> None:
-        if self.settings.subscribe:
-            self.out.append(api.Subscribe())
-
-    def _ask_list_later(self) -> None:
-        """Subscribe again after a doubling, jittered pause, so that routers don't call in step."""
-        self.list_failures += 1
-        pause = min(self.settings.ramp, self.settings.fall_window * 2.0 ** (self.list_failures - 2))
-        self.out.append(api.SetTimer(pause * self.random.uniform(0.5, 1.0), "list"))
-        self.out.append(api.Log(f"list out of reach, {self.list_failures} in a row"))
-
-    def _is_origin(self, entry: api.ServerEntry) -> bool:
-        return self.settings.aside and entry.kind == self.settings.origin_kind
-
-    def _admit(self, entry: api.ServerEntry) -> None:
-        """Begin with a server of which nothing is known."""
-        origin = self._is_origin(entry)
-        # guards against a start that is said to lie ahead: it would count as cold for as long; and against a
-        # list that does not know yet of the restart for which operators took it out
-        started = max(min(entry.since, self.now), self.returned.get(entry.server, 0.0))
-        banned = not origin and entry.server in self.banned
-        server = self.servers[entry.server] = Server(entry, not origin, started, banned)
-        if origin:
-            # guards the origin after a mass restart: forty first guesses are many times what it bears
-            server.limit = max(1.0, tuning.LIMIT_START * min(1.0, tuning.FEW / self.settings.siblings))
-
-    def _drop(self, name: str) -> None:
-        if name in self.servers:
-            self.ring.place(self.servers.pop(name), 0)
-
-    def _build_ring(self) -> None:
-        self.caches = [s for s in self.servers.values() if s.cache and s.ready]
-        self.origins = [s for s in self.servers.values() if not s.cache and s.ready]
-        self.ring.build(self.servers.values(), self.caches, self.settings.live_weights)
-
-    def _origin(self) -> Server | None:
-        """The least loaded origin member that may be sent to."""
-        return min(self.origins, key=lambda s: s.load, default=None)
-
-    def _choose(self, held: Held) -> Server | None:
-        """The bounded walk: a key's load flows clockwise, and each server keeps (1 + epsilon) fair shares."""
-        key = held.request.key if held.request.key is not None else held.request.request
-        start = self.ring.start(key)
-        flow = self.random.random() * self._load_of(key)
-        # passed by chance: all read the same late report
-        cap = (1 + tuning.EPSILON) * max(1.0, self.ring.mean_reported)
-        passed: set[Server] = set()
-        crowded = 0
-        first = None
-        positions, owners = self.ring.positions, self.ring.owners
-        for step in range(min(tuning.WALK, len(positions))):
-            server, rank = owners[positions[(start + step) % len(positions)]]
-            warm = self._warm_share(server)
-            # guards against pushing over a cold server: all leave out the same points, and none spills to it
-            if rank > warm or server in passed or (warm < 1 and passed):
-                continue
-            passed.add(server)
-            if self._eligible(held, server):
-                first = first or server
-                flow -= (1 + tuning.EPSILON) * warm * server.size / self.ring.total_size
-                if flow <= 0 and server.reported * self.random.random() <= cap:
-                    return server
-            elif server.left and self.leaving is not None:
-                if self._may_try(held, server):
-                    return server
-                held.moved = held.moved or len(passed) == 1
-            elif server.load >= server.limit and not self._silent(server):
-                crowded += 1
-                if crowded >= tuning.SPILL:
-                    break
-        return first  # all over the cap: then it is as good as any, and likelier to have the key
-
-    def _may_try(self, held: Held, server: Server) -> bool:
-        """Whether a read may find out whether a zone that is left is back; it is asked for again if not."""
-        safe = held.request_class.effect is api.Effect.SAFE and not held.request.write and not held.attempts
-        return safe and self.leaving is not None and self.leaving.trial(self.now, server.entry.zone)
-
-    def _may_move(self, held: Held) -> bool:
-        """Whether survivors bear one more of the requests that have lost their server."""
-        if self.leaving is None or held.attempts:
-            return True
-        if not held.moved:
-            self.leaving.stays()
-            return True
-        most = max(c.worth for c in self.settings.classes.values())
-        return self.leaving.moves(held.request_class.worth, most)
-
-    def _load_of(self, key: str) -> float:
-        """A key's share of own requests, this one counted."""
-        return self.popularity.share(self.now, key, self.settings.ramp, len(self.caches))
-
-    def _too_late(self, held: Held, server: Server) -> bool:
-        """Refuses by chance what would wait too long. Guards against rooms so full that all is late."""
-        left = held.until - self.now
-        if self.settings.live_weights:  # told how crowded it is
-            return self.random.random() * self.wait * server.reported / tuning.QUEUE > left
-        # an idle place costs nothing, one that others want is given by the chance to be in time
-        return self.random.random() * server.load / server.limit > server.evidence.latencies.chance(left)
-
-    def _eligible(self, held: Held, server: Server) -> bool:
-        """Whether a server may take the request now."""
-        if self.now < server.out_until or server.load and server.failures >= tuning.FAILURES:
-            return False
-        if server.load >= server.limit or server.load and self._silent(server):
-            return False
-        if any(a.server is server for a in held.attempts):
-            return False
-        return self._permits(held, server)
-
-    def _met_seldom(self) -> bool:
-        """Whether this router is one of many: so many failures in a row at one server take it too long."""
-        if self.settings.siblings <= tuning.FEW:
-            return False
-        rate = self.taken / max(self.now - self.born, self.shortest_aim) / max(1, len(self.caches))
-        return rate * tuning.PAUSE < tuning.FAILURES
-
-    def _note_failure(self, server: Server, failed: bool, count: int = 1) -> None:
-        caches = self.caches if self.leaving is None else [s for s in self.caches if not s.left]
-        note_failure(self.now, server, caches, failed, count, self.settings.ramp, self.random)
-
-    def _silent(self, server: Server) -> bool:
-        """Whether a server owes us an answer and has given none, to anything, for too long."""
-        return self.now - server.evidence.quiet_since > tuning.SILENCE * self.shortest_aim
-
-    def _warm_share(self, server: Server) -> float:
-        """Share of its points that count: the stated warm-up, cut by our own share of good answers."""
-        age = self.now - server.started
-        if server.started <= 0 or age >= self.settings.ramp:
-            return 1.0
-        # guards against client retries, which multiply what is sent just when servers bear the least
-        return self.good * (1 - (1 - self.settings.cold_share) * (1 - age / self.settings.ramp))
-
     def _on_request(self, request: api.Request) -> None:
         request_class = self.settings.classes.get(request.request_class)
         if request_class is None:
@@ -373,21 +175,6 @@
         self.retries = min(tuning.RETRIES_SAVED, self.retries + tuning.RETRY_SHARE)
         self._advance(held)
 
-    def _permits(self, held: Held, server: Server | None) -> bool:
-        """What the class still permits: another send to this server or, with None, a refusal."""
-        kind = held.request_class
-        ran = [a for a in held.attempts if a.may_have_run]
-        waits = held.open_attempts() and not held.settings.second_copies
-        if server is not None and (waits or len(held.attempts) >= held.settings.max_attempts):
-            return False
-        if kind.effect is api.Effect.SAFE or not ran:
-            return True
-        if kind.effect is api.Effect.UNSAFE or server is None:
-            return kind.effect is api.Effect.KEYED and kind.group is api.Group.ALL
-        if self.now >= min(a.sent_at for a in ran) + kind.window:
-            return False
-        return all(kind.group.joins(a.server.entry, server.entry) for a in ran)
-
     def _advance(self, held: Held) -> None:
         """Send the next attempt, hold the request for one, or end it."""
         to_ring = self.ring.positions and not held.to_origin
@@ -412,15 +199,6 @@
         self.out.append(api.Send(name, server.entry.server))
         self._look_again(held, attempt)
 
-    def _overdue_after(self, server: Server) -> float:
-        """Seconds after which an attempt without an answer is more likely lost than late; 0 if unknown.
-
-        Guards what goes to a server that has never answered this router, which in a large fleet meets each
-        seldom: it would wait to the end. How long caches take is known from the others.
-        """
-        usual = self.wait * (1 + server.reported) if server.cache else 0.0
-        return server.evidence.overdue_after() or OVERDUE * usual
-
     def _look_again(self, held: Held, attempt: Attempt) -> None:
         """A timer for when an attempt without an answer will be more likely lost than late."""
         server = attempt.server
@@ -456,17 +234,6 @@
         if not last.lost and (not late or held.to_origin):
             self._look_again(held, last)  # what is usual has become longer, or may yet be overtaken
 
-    def _quiet(self, attempt: Attempt) -> bool:
-        """Whether nothing has come from its server since it was sent, for longer than others take.
-
-        Guards against caches that have only told quickly what they lack: their first hits look overdue; and
-        against an origin that is slow, of which a router of many has one answer to wait for: not out of
-        reach.
-        """
-        server = attempt.server
-        long = server.cache and self.now - attempt.sent_at >= OVERDUE * self.wait
-        return long and server.evidence.quiet_since <= attempt.sent_at
-
     def _copy(self, held: Held, last: Attempt) -> bool:
         """Ask again. A server that has answered others since has the key; one that has not may be out."""
         server: Server | None = last.server
@@ -661,9 +428,6 @@
             return held.until - origin.evidence.latencies.quantile(tuning.FAIR_CHANCE)
         return held.until - (1.0 if held.request.write else tuning.FETCH_ROOM) * origin.evidence.usual
 
-    def _pause_before_trial(self, origin: Server) -> float:
-        return origin.evidence.overdue_after() or tuning.UNKNOWN * self.shortest_aim
-
     def _has_place(self, origin: Server) -> bool:
         """Whether a fetch may go: below the limit, or as a trial when all that is out may be lost."""
         leaving = self.leaving
--- a/myrtlecourse/policy/tuning.py
+++ b/myrtlecourse/policy/tuning.py
@@ -7,6 +7,7 @@
 POINTS = 128  # virtual nodes of a server as large as the unit of weight: shares within a tenth or so
 EPSILON = 0.25  # a server may stand this far above the average load before the walk passes it
 WALK = 64  # points a walk goes at most: no tour of the fleet for each request when all is crowded
+LEFT_WALK = 512  # the same while a zone is left, whose points stay where they are
 ROOM = 0.3  # of own attempts answered well: above it a refusal as full, being cheap, spends no retry
 CHEAP = (api.Status.FULL, api.Status.CONNECT_FAILED)  # they cost the fleet next to no work
 QUEUE = 0.25  # of the time left that may be spent waiting behind what a server is reported to hold
@@ -32,6 +33,7 @@
 PAUSE = 0.5  # seconds out at first, doubled with each trial that fails; routers must not try in step
 MOST_OUT = 0.5  # share of the fleet; when more fails it is not the servers, and the others could not bear it
 SPILL_SAVED = 16.0  # requests that may move to survivors at once, when a zone is left
+SPILL_ROUNDS = 4  # times what one that stays lets move, which may be saved
 SPILL_KEPT = 0.5  # of those, for requests of the most worth
 LEFT_PAUSE = 0.25  # seconds after which clients of what is left may come back: another router may reach it
 LEFT_WAIT = 0.4  # of a request's time, for which it may wait for an origin that is out of reach
--- a/myrtlecourse/service.py
+++ b/myrtlecourse/service.py
@@ -18,9 +18,10 @@
 from myrtlecourse.config import Config, ConfigError, read_file, read_reload
 from myrtlecourse.net.descriptors import Descriptors
 from myrtlecourse.net.discovery import Discovery
-from myrtlecourse.net.host import Host, Member
+from myrtlecourse.net.host import Host
 from myrtlecourse.net.listener import NOTICE, Listener
 from myrtlecourse.net.logs import BoundedLog
+from myrtlecourse.net.members import Member
 from myrtlecourse.net.origin import OriginConnection
 from myrtlecourse.net.pool import Pool, address_of
 from myrtlecourse.net.servers import CacheConnection
@@ -330,25 +331,48 @@
             self.host.list_moved()
             if not config.settings.subscribe:
                 self.discovery.subscribe()
-        self._reload_address()
+        if self.operators is not None:
+            self._reload_operators(self.operators)
 
-    def _reload_address(self) -> None:
-        """Take voters that have come or gone, and times, from the operators' file."""
-        if self.keeper is None or self.operators is None:
-            return
+    def _reload_operators(self, path: Path) -> None:
+        """Take what has changed in the operators' file, table by table."""
         try:
-            table = self._read_operators(self.operators).address
-            if table is None:
-                raise ConfigError(
-                    f"{self.operators}: the table `address` was there at the start and is missing"
-                )
-            settings = table.election()
-            if settings != self.keeper.settings:
-                self.keeper.change(settings, {p.name: address_of(p.at) for p in table.peers})
-                logging.info("voters for the service address: %s", ", ".join(settings.voters))
+            told = self._read_operators(path)
+            if self.keeper is not None:
+                self._reload_address(self.keeper, told.address)
+            if self.speaker is not None:
+                self._reload_fleet(self.speaker, told.fleet)
         except ValueError as e:
             logging.error("operators' file not taken, the old one stays: %s", e)
 
+    @staticmethod
+    def _reload_address(keeper: Keeper, table: Address | None) -> None:
+        """Voters that have come or gone, times, keys and the link. Raises ValueError."""
+        from myrtlecourse.address.setup import keys, link  # noqa: PLC0415  (an extra)
+
+        if table is None:
+            raise ConfigError("the table `address` was there at the start and is missing")
+        taken = keys(table)
+        settings = table.election()
+        if settings != keeper.settings:
+            keeper.change(settings, {p.name: address_of(p.at) for p in table.peers})
+            logging.info("voters for the service address: %s", ", ".join(settings.voters))
+        keeper.wire.seal.change(*taken)
+        keeper.words.link = link(table)
+        logging.info("the address's keys and link are those of the file")
+
+    def _reload_fleet(self, speaker: Speaker, table: Fleet | None) -> None:
+        """Everything but this router's name and zone, and where it is heard. Raises ValueError."""
+        from myrtlecourse.zones.setup import part  # noqa: PLC0415  (an extra)
+
+        told = part(table, self.config) if table is not None else None
+        if told is None:
+            raise ConfigError("the table `fleet` was there at the start and is missing")
+        taken, peers, _ = told
+        if taken != speaker.agent.part or peers != speaker.peers:
+            speaker.change(taken, peers)
+            logging.info("new settings of the fleet: %d routers", len(peers))
+
     def _retune(self, settings: api.Settings) -> None:
         """Swap the settings. Classes that are dropped are taken for a little longer, as commands of them may
         lie in sockets; their rules stay what they were."""
--- a/myrtlecourse/sim/meeting.py
+++ b/myrtlecourse/sim/meeting.py
@@ -12,6 +12,7 @@
 from myrtlecourse.peers.seal import Dropped
 from myrtlecourse.sim.core import Core
 from myrtlecourse.zones.agent import Agent, Part
+from myrtlecourse.zones.setup import tiers_of
 
 if TYPE_CHECKING:
     from myrtlecourse.sim.routers import SimRouter
@@ -40,8 +41,10 @@
     def join(self, router: SimRouter) -> Agent:
         """A router's process has started."""
         names = tuple(self.routers)
+        told = self.told
         part = Part(
-            router.name, names, router.zone, KEY, self.told.spill, self.told.leave_origin, self.told.interval
+            *(router.name, names, router.zone, KEY, told.spill, told.leave_origin, told.interval),
+            tiers=tiers_of(told.regions, told.own_region, told.elsewhere),
         )
         agent = Agent(part, self.core.now, self.wall(), self.chance.getrandbits(32))
         self.core.after(PACE * self.chance.random(), self._tick, router, agent, router.life)
@@ -59,9 +62,10 @@
             self.bytes += len(datagram.data)
             for pause in self.ways.fate((router.name, datagram.to)):
                 self.core.after(pause, self._arrive, self.routers[datagram.to], datagram.data)
-        if done.order is not None:
-            self.orders.append((self.core.now, router.name, done.order.zones, done.order.origin))
-            router.post(done.order)
+        if done.left is not None:
+            self.orders.append((self.core.now, router.name, done.left.zones, done.left.origin))
+        for event in done.events:
+            router.post(event)
 
     def _arrive(self, router: SimRouter, data: bytes) -> None:
         if router.later(self._arrive, router, data) or not router.up or router.agent is None:
--- a/myrtlecourse/zones/agent.py
+++ b/myrtlecourse/zones/agent.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import math
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -14,6 +15,7 @@
 from myrtlecourse.peers.gossip import Datagram, Gossip
 from myrtlecourse.peers.seal import ident
 from myrtlecourse.zones.core import ORIGIN, Change, Zones
+from myrtlecourse.zones.tiers import Tiers
 from myrtlecourse.zones.verdict import ALL
 
 
@@ -29,6 +31,8 @@
     leave_origin: bool = False
     interval: float = 1.0  # seconds between words when all is calm
     budget: float = 16_384.0  # bytes a second
+    also: tuple[bytes, ...] = ()  # keys that are taken, while the others go from one to the next
+    tiers: Tiers = Tiers()
 
 
 @dataclass(slots=True, frozen=True)
@@ -36,7 +40,8 @@
     """What a tick came to, to be carried out."""
 
     datagrams: list[Datagram]
-    order: api.ZonesLeft | None  # another than before
+    events: list[api.Event]  # for the decision module
+    left: api.ZonesLeft | None  # among them, if it is another than before
     changes: list[Change]  # for the log
 
 
@@ -47,15 +52,44 @@
         """`wall` is the Unix time in seconds. Raises ValueError for a part that can't be used."""
         self.part = part
         self.gossip = Gossip(
-            part.name, part.members, part.zone, part.key, now, wall, seed, part.interval, part.budget
+            part.name,
+            part.members,
+            part.zone,
+            part.key,
+            now,
+            wall,
+            seed,
+            part.interval,
+            part.budget,
+            part.also,
         )
-        self.zones = Zones(part.name, part.zone, now, part.spill, part.leave_origin)
+        self.zones = Zones(part.name, part.zone, now, part.spill, part.leave_origin, part.tiers)
         self.given = self.zones.given
+        self.preferred: dict[str, float] = {}
         self.stalls = 0
 
-    def listed(self, zones: set[str]) -> None:
-        """The zones of a list."""
-        self.zones.zones(sorted(zones))
+    def change(self, part: Part) -> None:
+        """Take other settings, keys or members; what is known of those that stay, stays.
+
+        Raises:
+            ValueError: it is another router's part, or can't be used; nothing is taken.
+        """
+        if (part.name, part.zone) != (self.part.name, self.part.zone):
+            raise ValueError("name and zone can't be others while a router runs")
+        self.gossip.change(part.members, part.key, part.also, part.interval, part.budget)
+        zones = self.zones
+        zones.spill, zones.leave_origin, zones.tiers = part.spill, part.leave_origin, part.tiers
+        self.part = part
+
+    def listed(self, zones: Mapping[str, int]) -> None:
+        """How many cache servers a list names in each zone."""
+        self.zones.zones(zones)
+
+    def _preferred(self) -> dict[str, float]:
+        """How gladly each zone is asked, of those that count less than the own one."""
+        tiers, home = self.part.tiers, self.part.zone
+        each = {zone: tiers.weight(home, zone) for zone in self.zones.sizes}
+        return {zone: weight for zone, weight in each.items() if weight != 1.0}
 
     def ended(self, now: float, zone: str, origin: bool, reach: api.Reach) -> None:
         """An attempt has ended (`api.Watch`)."""
@@ -78,10 +112,16 @@
         members = gossip.present(now)
         if zones.tick(now, gossip.records(now), members, gossip.believes and members.total() > 1):
             gossip.stir(now)
-        order = zones.given if zones.given != self.given else None
+        events: list[api.Event] = []
+        left = zones.given if zones.given != self.given else None
         self.given = zones.given
+        if left is not None:
+            events.append(left)
+        if (preferred := self._preferred()) != self.preferred:
+            self.preferred = preferred
+            events.append(api.Preferred(preferred))
         changes, zones.changes = zones.changes, []
-        return Done(datagrams, order, changes)
+        return Done(datagrams, events, left, changes)
 
     def order(self, now: float, zone: str, out: bool, seconds: float) -> None:
         """An operator's word for the whole fleet. Raises ZonesError."""
@@ -109,6 +149,7 @@
                 {
                     "zone": "the origin" if name == ORIGIN else name,
                     "looks": word.value,
+                    "weight": self.preferred.get(name, 1.0),
                     "heard": total.heard,
                     "refused": total.refused,
                     "silent": total.silent,
--- a/myrtlecourse/zones/core.py
+++ b/myrtlecourse/zones/core.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import math
-from collections.abc import Iterable
+from collections.abc import Mapping
 from dataclasses import dataclass, field, replace
 
 from myrtlecourse import interface as api
@@ -16,6 +16,7 @@
 from myrtlecourse.peers.seal import ident
 from myrtlecourse.zones import verdict
 from myrtlecourse.zones.evidence import LONG, PERIOD, SHORT, Counts, Tally, heard, told
+from myrtlecourse.zones.tiers import Tiers
 from myrtlecourse.zones.verdict import ALL, Look, Order, Standing, Sum
 
 ORIGIN = "\0origin"  # the origin's zone, which no other can be named
@@ -29,6 +30,7 @@
 FORGOTTEN = 120.0  # seconds after which a register that is in need not be told any more
 MOST_REGISTERS = 8  # told in a record
 MOST_ZONES = 64
+STEADY = 0.25  # share by which a figure of an order may be off before that makes a new one
 ENOUGH_TO_DOUBT = 3  # answers of late: one failure among them is no news
 UNBELIEVED = (
     0.5  # seconds after this process stood still in which it counts nothing: that is why it timed out
@@ -60,13 +62,21 @@
     """One router's part."""
 
     def __init__(
-        self, name: str, zone: str, now: float, spill: float = 3.0, leave_origin: bool = True
+        self,
+        name: str,
+        zone: str,
+        now: float,
+        spill: float = 3.0,
+        leave_origin: bool = True,
+        tiers: Tiers | None = None,
     ) -> None:
         """`spill` times what the survivors of a zone were sent is what they are sent at most when it
         is left."""
         self.me = ident(name)
         self.home = ident(zone, 2)
         self.spill = spill
+        self.tiers = tiers or Tiers()
+        self.sizes: Mapping[str, int] = {}  # cache servers, by zone
         self.leave_origin = leave_origin  # else it is looked at and told, and asked as ever
         self.names: dict[int, str] = {self.home: zone, ident(ORIGIN, 2): ORIGIN}
         self.counts = Counts(now)
@@ -81,9 +91,10 @@
         self.doubted: dict[int, float] = {}  # zones that others reach and this router does not: since when
         self.alone: set[int] = set()  # those of them for long enough
 
-    def zones(self, names: Iterable[str]) -> None:
-        """The zones that lists have named."""
-        for name in names:
+    def zones(self, sizes: Mapping[str, int]) -> None:
+        """How many cache servers the list names in each zone; a zone that it once named stays known."""
+        self.sizes = sizes
+        for name in sorted(sizes):
             if len(self.names) < MOST_ZONES:
                 self.names.setdefault(ident(name, 2), name)
 
@@ -299,9 +310,13 @@
         zones = frozenset(self.names[n] for n in numbers if n != origin)
         forced = frozenset(self.names[n] for n in numbers if n != origin and self._ordered(n))
         before = self.given
-        if abs(every - before.trial_every) <= 0.25 * before.trial_every:
+        if abs(every - before.trial_every) <= STEADY * before.trial_every:
             every = before.trial_every  # a router that comes or goes is no new order
-        order = api.ZonesLeft(zones, self.leave_origin and origin in numbers, forced, self.spill, every)
+        routers = {self.names.get(number, ""): count for number, count in self.members.items()}
+        spill = self.tiers.spill(self.spill, self.names[self.home], self.sizes, zones, routers)
+        if abs(spill - before.spill) <= STEADY * before.spill and zones == before.zones:
+            spill = before.spill
+        order = api.ZonesLeft(zones, self.leave_origin and origin in numbers, forced, spill, every)
         if order != before and (order.zones or order.origin or before.zones or before.origin):
             self.given = order
 
--- a/myrtlecourse/zones/verdict.py
+++ b/myrtlecourse/zones/verdict.py
@@ -53,7 +53,7 @@
     heard: int = 0
     refused: int = 0
     silent: int = 0
-    witnesses: int = 0  # routers whose attempts did not come through
+    witnesses: int = 0  # routers most of whose attempts did not come through: a doubt or two is none
     run: int = 0  # that did not since the last one that did, at each of them
     runners: int = 0  # routers to which nothing came through since
     others: int = 0  # routers to which the last one did
@@ -88,7 +88,7 @@
         sum(t.heard for t in each),
         sum(t.refused for t in each),
         sum(t.silent for t in each),
-        sum(t.bad > 0 for t in each),
+        sum(t.bad > t.heard for t in each),
         *runs(each),
     )
 
@@ -100,7 +100,7 @@
         sum(t.heard_long for t in each),
         sum(t.refused_long for t in each),
         sum(t.silent_long for t in each),
-        sum(t.bad_long > 0 for t in each),
+        sum(t.bad_long > t.heard_long for t in each),
         *runs(each),
     )
 
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -14,8 +14,9 @@
 
 from myrtlecourse import interface as api
 from myrtlecourse import policy
-from myrtlecourse.net.host import Host, Member
+from myrtlecourse.net.host import Host
 from myrtlecourse.net.listener import Listener
+from myrtlecourse.net.members import Member
 from myrtlecourse.net.origin import OriginConnection
 from myrtlecourse.net.pool import Pool
 from myrtlecourse.net.servers import CacheConnection
--- a/tests/test_net_discovery.py
+++ b/tests/test_net_discovery.py
@@ -11,7 +11,7 @@
 from myrtlecourse import interface as api
 from myrtlecourse.net import discovery as discoveries
 from myrtlecourse.net.discovery import Discovery, ListError, read_list
-from myrtlecourse.net.host import Member
+from myrtlecourse.net.members import Member
 from tests.loopback import Link, Peer, http, run
 
 LINE: dict[str, Any] = {
