Count an order from a stamp that this very process gave, and begin terms after the clock

Found by a random schedule of a wrong form (asks one member) that is no breach of what it leaves out: a holder repeated a stamp of a member's process before, the new one counted it from its own start and obeyed for five seconds too long. Stamps begin at a number drawn at each start. Found by two crashes without a disk: a majority that has forgotten gave the first term again. Without a memory terms begin after the clock.

--- a/myrtlecourse/address/votes.py
+++ b/myrtlecourse/address/votes.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import hashlib
-import os
 from pathlib import Path
 
 import orjson
 
+from myrtlecourse.checked import replace_file
 from myrtlecourse.election.messages import Saved
 
 VERSION = 1
@@ -49,16 +49,4 @@
 def write_votes(path: Path, saved: Saved) -> None:
     """Write it down, on the disk before this returns: the vote goes out next. Raises OSError."""
     table = {"version": VERSION, "term": saved.term, "voted": saved.voted}
-    new = path.with_suffix(".new")
-    descriptor = os.open(new, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
-    try:
-        os.write(descriptor, orjson.dumps(table | {"sha256": _digest(saved.term, saved.voted)}))
-        os.fsync(descriptor)
-    finally:
-        os.close(descriptor)
-    new.rename(path)
-    folder = os.open(path.parent, os.O_RDONLY | os.O_CLOEXEC)
-    try:
-        os.fsync(folder)  # the name, too
-    finally:
-        os.close(folder)
+    replace_file(path, orjson.dumps(table | {"sha256": _digest(saved.term, saved.voted)}))
--- a/myrtlecourse/duties/core.py
+++ b/myrtlecourse/duties/core.py
@@ -28,8 +28,14 @@
 class Duties:
     """One process's part."""
 
-    def __init__(self, settings: Settings, saved: dict[str, Memory] | None, now: float, seed: int) -> None:
-        """`saved` is what the process before wrote down, None where there is no disk or nothing on it."""
+    def __init__(
+        self, settings: Settings, saved: dict[str, Memory] | None, now: float, seed: int, floor: int = 0
+    ) -> None:
+        """`saved` is what the process before wrote down, None where there is no disk or nothing on it.
+
+        Then terms begin after `floor`, a number that is higher at each start: else a majority that has
+        forgotten all would give tokens once more that were given before.
+        """
         self.settings = settings
         self.now = now
         self.chance = random.Random(seed)
@@ -51,14 +57,17 @@
         self.own: deque[Item] = deque()  # said to this very process
         self.dirty = False
         self.beating = False
+        first_stamp = self.chance.getrandbits(48) + 1
         for duty in settings.duties:
             memory = (saved or {}).get(duty.name)
-            before = election.Saved(memory.term, memory.voted) if memory is not None else election.Saved()
+            before = election.Saved(floor, "")
+            if memory is not None:
+                before = election.Saved(memory.term, memory.voted)
             number = self.chance.getrandbits(32)
             self.duties[duty.name] = duty
             self.names[duty.number] = duty.name
             self.elections[duty.name] = Election(settings.election(duty), before, now, number, self.count)
-            self.members[duty.name] = Member(duty, memory, now)
+            self.members[duty.name] = Member(duty, memory, now, first_stamp)
 
     # What may be done at this moment
 
@@ -187,10 +196,15 @@
         if self.beating:
             for name, held in self.elections.items():
                 self._carry(name, held.join(self.now))
-        for name, member in self.members.items():
-            if not member.rested and member.obeys(self.now) is None:
-                member.rested = True
-                self.acts.append(said.Rests(name))
+        for name in self.members:
+            self._look_at(name)
+
+    def _look_at(self, name: str) -> None:
+        """Tell when a member's order has run out, or was dropped for a later holder."""
+        member = self.members[name]
+        if not member.rested and member.obeys(self.now) is None:
+            member.rested = True
+            self.acts.append(said.Rests(name, min(self.now, member.ends)))
 
     def _lead(self, name: str, lead: Lead) -> None:
         if name in self.ends:
@@ -302,6 +316,7 @@
         """Take a holder's word, and answer it once what must last is written down."""
         if sender not in self.elections[name].settings.candidates:
             return
+        self._look_at(name)  # what ran out before this came, or a stop would hide it
         member = self.members[name]
         before = member.promised, member.token, member.number, member.value
         obeyed = member.obeyed
@@ -311,6 +326,10 @@
             answer = member.order(self.now, sender, message)
         self.dirty |= before != (member.promised, member.token, member.number, member.value)
         now = member.obeyed
+        if now.token != obeyed.token:
+            self._look_at(name)
+            if not member.rested:
+                self.acts.append(said.Rests(name, self.now))  # from one holder to the next
         if now is not obeyed and self.now < now.until:
             member.rested = False
             self.acts.append(said.Obeys(name, now.holder, now.token, now.number, now.value, now.until))
--- a/myrtlecourse/duties/lead.py
+++ b/myrtlecourse/duties/lead.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
 
 from myrtlecourse.duties import messages as said
@@ -69,7 +70,7 @@
         if known.token != self.token:
             return
         self.known.add(member)
-        self.stamps[member] = max(known.stamp, self.stamps.get(member, 0))
+        self.stamps[member] = known.stamp
         if not known.fresh:
             self.witnesses.add(member)
         if not self.acting and (known.taken, known.number) > self.best:
@@ -106,14 +107,16 @@
         one for want of a stamp, and whether a majority has now taken a later order than before."""
         if taken.token != self.token or not (self.acting or self.leaving):
             return None, False
-        first = member not in self.stamps
-        self.stamps[member] = max(taken.stamp, self.stamps.get(member, 0))
+        before = self.stamps.get(member, 0)
+        # the latest that came, not the highest: a process that has started anew counts anew
+        self.stamps[member] = taken.stamp
         if self.leaving:
             if taken.number == self.number:
                 self.bound.pop(member, None)
             return None, False
         if not taken.kept:
-            return (self._order(now, member) if first else None), False
+            again = self.heard.get(member, -math.inf) < now - self.duty.good_for / ROUNDS / 2
+            return (self._order(now, member) if again and taken.stamp != before else None), False
         self.heard[member] = now
         self.taken[member] = max(taken.number, self.taken.get(member, 0))
         counts = sorted(self.taken.values(), reverse=True)
--- a/myrtlecourse/duties/member.py
+++ b/myrtlecourse/duties/member.py
@@ -20,23 +20,30 @@
 class Member:
     """One member's part in one duty."""
 
-    def __init__(self, duty: said.Duty, saved: Memory | None, now: float) -> None:
-        """`saved` is what was written down by the process before, None where nothing was."""
+    def __init__(self, duty: said.Duty, saved: Memory | None, now: float, first_stamp: int) -> None:
+        """`saved` is what was written down by the process before, None where nothing was; `first_stamp` a
+        large number drawn at the process's start."""
         self.duty = duty
         memory = saved or Memory(value=duty.first)
         self.promised = memory.promised
         self.token, self.number, self.value = memory.token, memory.number, memory.value
         self.fresh = saved is None  # guards what others settled: who has forgotten it is no witness
         self.born = now
+        self.first_stamp = first_stamp
         self.obeyed = Obeyed()
         self.holder = ""  # who holds the duty, as was last heard
         self.heard_at = -math.inf  # an order
         self.stale = 0  # orders that were dropped, as they came too late or from a holder before
         self.rested = True
+        self.ends = math.inf  # when the last order obeyed ran out, as it was when it was obeyed
 
     def stamp(self, now: float) -> int:
-        """The moment as this process counts it, over 0."""
-        return int((now - self.born) * MILLI) + 1
+        """The moment as this process counts it, in milliseconds.
+
+        Guards against a holder that repeats a stamp of the process before this one: counted from this one's
+        start it would lie ahead, and the order would be obeyed for as much too long.
+        """
+        return self.first_stamp + int((now - self.born) * MILLI)
 
     def obeys(self, now: float) -> Obeyed | None:
         """What is to be done at this very moment."""
@@ -59,8 +66,10 @@
         self.promised = order.token
         if self.obeyed.token < order.token:
             self.obeyed.until = -math.inf
-        # what was heard never: then this answer tells when it is counted from
-        until = self.born + (order.echo - 1 + order.good_for) / MILLI if order.echo else -math.inf
+        # with a stamp that this process has not given: then the answer gives one
+        until = -math.inf
+        if self.first_stamp <= order.echo <= self.stamp(now):
+            until = self.born + (order.echo - self.first_stamp + order.good_for) / MILLI
         behind = (order.token, order.number) < (self.token, self.number)
         if behind or (order.good_for and now >= until):
             self.stale += bool(order.echo)
@@ -72,6 +81,7 @@
             until = -math.inf
         elif self.obeyed.token == order.token:
             until = max(until, self.obeyed.until)  # an answer to an earlier stamp may come later
+        self.ends = until if until > -math.inf else now
         self.obeyed = Obeyed(sender, order.token, order.number, order.value, until)
         return said.Taken(order.token, order.number, True, self.stamp(now))
 
--- a/myrtlecourse/duties/messages.py
+++ b/myrtlecourse/duties/messages.py
@@ -301,9 +301,10 @@
 
 @dataclass(slots=True, frozen=True)
 class Rests:
-    """This member obeys nobody: the duty's safe rest holds until further notice."""
+    """This member has obeyed nobody since a time on its own clock: the duty's safe rest holds."""
 
     duty: str
+    since: float
 
 
 @dataclass(slots=True, frozen=True)
--- a/myrtlecourse/peers/wire.py
+++ b/myrtlecourse/peers/wire.py
@@ -12,9 +12,10 @@
 from enum import Enum
 from typing import Any, Generic, Protocol, TypeVar
 
-from myrtlecourse.peers.seal import Dropped, Numbers, Seal
+from myrtlecourse.peers.seal import LONGEST, SEAL, Dropped, Numbers, Seal
 
 VERSION = 2
+HEAD = 36  # bytes at most: the version, two starts, the number and what MessagePack adds
 MOST_STARTS = 64  # of one sender, remembered while this process lives
 HELLO = "hello"  # what an end says that was addressed by a start that is not its own
 Message = TypeVar("Message")
@@ -71,6 +72,11 @@
         """Members have come or gone."""
         self.senders = {m: self.senders.get(m, Sender()) for m in members if m != self.name}
 
+    @property
+    def room(self) -> int:
+        """Bytes that a message may take: a datagram's, without its seal and head at their longest."""
+        return LONGEST - SEAL - HEAD - len(self.name.encode())
+
     def pack(self, to: str, message: Message) -> bytes:
         """A datagram for a member."""
         return self._pack(to, self.codec.parts(message))
--- a/myrtlecourse/sim/duties.py
+++ b/myrtlecourse/sim/duties.py
@@ -16,7 +16,7 @@
 from myrtlecourse.sim.core import Core, Event
 from myrtlecourse.sim.election import Network
 
-Make = Callable[[said.Settings, dict[str, said.Memory] | None, float, int], Duties]
+Make = Callable[[said.Settings, dict[str, said.Memory] | None, float, int, int], Duties]
 PAUSE = 0.3  # seconds between a holder's steps
 
 
@@ -68,7 +68,11 @@
         self.boots += 1
         seed = self.world.chance.getrandbits(32)
         self.duties = self.world.make(
-            self.world.settings(self.name), self.saved if self.disk else None, self.clock(), seed
+            self.world.settings(self.name),
+            self.saved if self.disk else None,
+            self.clock(),
+            seed,
+            int(10 * self.world.core.now),
         )
         self.post(said.Able(self.able))
 
--- a/myrtlecourse/sim/exhaust.py
+++ b/myrtlecourse/sim/exhaust.py
@@ -90,7 +90,9 @@
         own = said.Settings(
             **{f: getattr(self.settings, f) for f in said.Settings.__slots__ if f != "name"}, name=node.name
         )
-        node.duties = self.make(own, node.saved if self.disks else None, self.clock(node), 1)
+        seed = 10 * node.boots + list(self.nodes).index(node.name)
+        saved, floor = node.saved if self.disks else None, int(10 * self.now)
+        node.duties = self.make(own, saved, self.clock(node), seed, floor)
         middle: Any = Middle()
         for election in node.duties.elections.values():
             election.random = middle
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -70,8 +70,8 @@
 
 
 BY_ALL = {"token_is_not_compared": 20, "wakes_without_a_look": 20}
-# seeds near a find, to save time: from the first it takes 12 and 23 s
-NEAR = {"counts_from_the_arrival": 190, "starts_as_if_nothing_had_been_promised": 370}
+# a seed near the first find, to save time: from 0 it takes up to a minute and a half
+NEAR = {"asks_one": 1820, "lease_from_the_answer": 860}
 
 
 @needs_sources
@@ -87,7 +87,7 @@
 def test_random_schedules_catch_wrong_duties(way: str, monkeypatch: pytest.MonkeyPatch) -> None:
     WAYS[way](monkeypatch.setattr)
     with pytest.raises(Broken):
-        for seed in range(NEAR.get(way, 0), 600):
+        for seed in range(NEAR.get(way, 0), NEAR.get(way, 0) + 600):
             schedule(world(seed, disks=seed % 2 == 0), 30.0)
 
 
@@ -227,22 +227,37 @@
 # The parts
 
 
+BASE = 2**40
+
+
 def order(token: int, number: int, echo: int, good_for: int = 2000) -> said.Order:
     return said.Order(token, number, good_for, echo, (number,))
 
 
 def test_an_order_counts_from_the_question_that_it_answers() -> None:
-    member = Member(Duty("x"), None, 100.0)
+    member = Member(Duty("x"), None, 100.0, BASE)
     answer = member.order(101.0, "h", order(3, 1, 0))
     assert isinstance(answer, said.Taken) and not answer.kept and member.obeys(101.0) is None
-    assert member.order(101.5, "h", order(3, 1, answer.stamp)) == said.Taken(3, 1, True, 1501)
+    assert member.order(101.5, "h", order(3, 1, answer.stamp)) == said.Taken(3, 1, True, BASE + 1500)
     assert member.obeys(102.9) is not None and member.obeys(103.01) is None
     late = member.order(103.5, "h", order(3, 2, answer.stamp))  # it lay in a queue for two seconds
     assert isinstance(late, said.Taken) and not late.kept and member.value == (1,) and member.stale == 1
 
 
+def test_a_stamp_of_the_process_before_is_none() -> None:
+    """Found by a random schedule: the holder repeated it, and it was counted from the new start."""
+    old = Member(Duty("x"), None, 100.0, BASE)
+    stamp = old.stamp(108.0)
+    new = Member(Duty("x"), None, 109.0, 2 * BASE)
+    for at in (109.5, 118.0, 200.0):
+        answer = new.order(at, "h", order(3, 1, stamp))
+        assert isinstance(answer, said.Taken) and not answer.kept and new.obeys(at) is None
+    ahead = new.order(200.0, "h", order(3, 1, new.stamp(201.0)))
+    assert isinstance(ahead, said.Taken) and not ahead.kept
+
+
 def test_lower_tokens_are_dropped_and_told_so_once_a_higher_one_has_asked() -> None:
-    member = Member(Duty("x"), None, 100.0)
+    member = Member(Duty("x"), None, 100.0, BASE)
     member.order(101.0, "h", order(3, 5, member.stamp(101.0)))
     known = member.survey(101.2, said.Survey(4))
     assert known == said.Known(4, 3, 5, False, member.stamp(101.2), (5,))
@@ -252,7 +267,7 @@
     member.order(101.5, "g", order(4, 1, member.stamp(101.5)))
     obeyed = member.obeys(101.6)
     assert obeyed is not None and (obeyed.holder, obeyed.token) == ("g", 4)
-    assert member.order(101.7, "g", order(4, 0, member.stamp(101.7))) == said.Taken(4, 0, False, 1701)
+    assert member.order(101.7, "g", order(4, 0, member.stamp(101.7))) == said.Taken(4, 0, False, BASE + 1700)
     member.order(101.8, "g", order(4, 2, 0, 0))
     assert member.obeys(101.8) is None and member.value == (2,)
 
@@ -294,6 +309,7 @@
     assert duties.elections["x"].saved == election.Saved(4, "b")
     assert not duties.members["x"].fresh and duties.members["y"].fresh
     said_back = duties.handle(10.0, said.Heard("e", ((EACH[0].number, said.Survey(7)),)))
-    assert said.Say("e", ((EACH[0].number, said.Known(7, 5, 3, False, 10001, (1, 2))),)) in said_back
+    stamp = duties.members["x"].stamp(10.0)
+    assert said.Say("e", ((EACH[0].number, said.Known(7, 5, 3, False, stamp, (1, 2))),)) in said_back
     (saved,) = [a for a in said_back if isinstance(a, said.Save)]
     assert said_back.index(saved) == 0 and saved.memories["x"] == Memory(4, "b", 7, 5, 3, (1, 2))
