--- a/deploy/compiled.py
+++ b/deploy/compiled.py
@@ -20,6 +20,7 @@
     "address/commands.py",
     "audit",
     "cli.py",
+    "duties/commands.py",
     "expect",
     "experiment",
     "fleet",
--- a/myrtlecourse/audit/auditor.py
+++ b/myrtlecourse/audit/auditor.py
@@ -14,6 +14,7 @@
 from msgspec import Meta, Struct
 
 from myrtlecourse.audit import observations as seen
+from myrtlecourse.audit.duties import DutyRules
 from myrtlecourse.audit.zones import ZoneRules
 
 Time = Annotated[float, Meta(ge=0.0, le=86_400.0)]  # seconds
@@ -39,6 +40,10 @@
     "left_alone": "zones are left as a fleet",
     "stayed": "zones are left as a fleet",
     "spilled": "zones are left as a fleet",
+    "two_obeyed": "duties are one router's",
+    "stale_obeyed": "duties are one router's",
+    "done_twice": "duties are one router's",
+    "nobody_too_long": "duties are one router's",
 }
 
 
@@ -52,6 +57,7 @@
     must_ask: Positive = 10.0  # a router that neither watches nor asks for so long counts as told
     zone_dials: Time = 0.0  # a second, of the fleet at a zone long dark; 0: not judged
     zone_sends: Positive = 60.0  # of a router, after which it has met each zone; more where it prefers some
+    duty_gap: Time = 0.0  # seconds that a duty may have no holder, once it had one; 0: not judged
     zone_spill: Time = 0.0  # times what survivors of a zone got, that they may get; 0: not judged
 
 
@@ -138,6 +144,7 @@
         self.now = 0.0
         self.stalls: dict[str, list[tuple[float, float]]] = {}  # of each router's process
         self.zones = ZoneRules(rules.zone_sends, rules.zone_dials, rules.zone_spill, self._breach_of_zone)
+        self.duties = DutyRules(rules.duty_gap, self._breach_of_zone)
 
     def take(self, what: seen.Observation) -> None:
         """Judge one observation; none may be much older than those before it."""
@@ -145,6 +152,7 @@
         self.now = max(self.now, what.at)
         self.seen[str(what.__struct_config__.tag)] += 1
         self.zones.take(what)
+        self.duties.take(what)
         match what:
             case seen.Asked():
                 life = self._life(what.id, what.router, what.at)
--- a/myrtlecourse/audit/observations.py
+++ b/myrtlecourse/audit/observations.py
@@ -169,6 +169,38 @@
     seconds: float
 
 
+class Obeys(Seen, frozen=True, tag="obeys"):
+    """A router obeys a duty's holder from now on, under a token; told by itself."""
+
+    router: str
+    duty: str
+    token: int
+
+
+class Rests(Seen, frozen=True, tag="rests"):
+    """A router obeys nobody for a duty; told by itself, maybe later."""
+
+    router: str
+    duty: str
+
+
+class Holds(Seen, frozen=True, tag="holds"):
+    """A router acts for a duty from now on; with token 0, no more."""
+
+    router: str
+    duty: str
+    token: int
+
+
+class Did(Seen, frozen=True, tag="did"):
+    """A duty's step was done, as its command tells."""
+
+    router: str
+    duty: str
+    step: int
+    token: int
+
+
 class Banned(Seen, frozen=True, tag="banned"):
     """A router has said yes to an operator who took a box out, or gave it `back`."""
 
@@ -197,6 +229,10 @@
     | Dialled
     | Stalled
     | Banned
+    | Obeys
+    | Rests
+    | Holds
+    | Did
 )
 
 
--- a/myrtlecourse/cli.py
+++ b/myrtlecourse/cli.py
@@ -6,6 +6,7 @@
     import click
 
     from myrtlecourse.address.commands import address
+    from myrtlecourse.duties.commands import duty
     from myrtlecourse.expect.commands import expect
     from myrtlecourse.experiment.commands import experiment
     from myrtlecourse.fleet.commands import audit, fleet
@@ -27,6 +28,7 @@
 
 
 main.add_command(address)
+main.add_command(duty)
 main.add_command(load)
 main.add_command(fleet)
 main.add_command(audit)
--- /dev/null
+++ b/myrtlecourse/duties/keeper.py
@@ -0,0 +1,260 @@
+"""Keeps one router's part in the duties of its fleet: the socket, the memory on disk, and what is done."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, Protocol
+
+from myrtlecourse.duties import messages as said
+from myrtlecourse.duties.codec import DutyCodec, split
+from myrtlecourse.duties.core import Duties
+from myrtlecourse.duties.memory import write_memories
+from myrtlecourse.net.logs import BoundedLog
+from myrtlecourse.peers.records import started
+from myrtlecourse.peers.seal import Dropped
+from myrtlecourse.peers.wire import Sign, Wire
+
+LOOK = 0.1  # seconds between looks at whether this process can hold a duty, and at what holders have to do
+AGAIN = 0.2  # seconds until listening is tried again, where the process before this one still does
+log = logging.getLogger(__name__)
+bounded = BoundedLog(log)
+Endpoint = tuple[str, int]
+
+
+class Work(Protocol):
+    """What a duty's holder does."""
+
+    def took(self, token: int, value: said.Value) -> None:
+        """It is this process's, until `lost`; to be asked of the keeper again before each effect."""
+
+    def lost(self) -> None:
+        """It is not any more: begin nothing."""
+
+    def settled(self, token: int, number: int) -> None:
+        """An order of this holder will last."""
+
+    def look(self) -> None:
+        """Called every LOOK seconds."""
+
+    async def close(self) -> None:
+        """End what is under way."""
+
+
+class Keeper(asyncio.DatagramProtocol):
+    """One router's end."""
+
+    def __init__(
+        self,
+        settings: said.Settings,
+        peers: dict[str, Endpoint],
+        keys: tuple[bytes, tuple[bytes, ...]],
+        memory: Path | None,
+        saved: dict[str, said.Memory] | None,
+        able: Callable[[], bool],
+    ) -> None:
+        """`able` says whether this router can hold duties now; `saved` is what was read from `memory`."""
+        chance = random.SystemRandom()
+        self.settings = settings
+        self.peers = peers
+        self.memory = memory
+        self.unwritten: dict[str, said.Memory] | None = None  # what must last before a word goes out
+        self.able = able
+        start = chance.getrandbits(62) + 1
+        self.wire = Wire(settings.name, settings.members, keys[0], start, DutyCodec(), keys[1])
+        now, floor = time.monotonic(), started(time.time())
+        self.duties = Duties(settings, saved, now, chance.getrandbits(32), floor)
+        self.works: dict[str, Work] = {}
+        self.transport: asyncio.DatagramTransport | None = None
+        self.loop: asyncio.AbstractEventLoop
+        self.wake: asyncio.TimerHandle | None = None
+        self.running: list[asyncio.Task[None]] = []
+        self.looked_at = now
+        self.sent = self.bytes_sent = 0
+        self.moves: list[str] = []  # the last few, for staff
+        self.heard: dict[str, str] = {}  # by duty: whose order was obeyed last, and under which token
+        self.closing = False
+
+    async def start(self, bind: Endpoint, shared: bool) -> None:
+        """Listen, and begin; where another process of this router may still listen (`shared`, at an upgrade)
+        once that one has let go. Raises OSError."""
+        self.loop = asyncio.get_running_loop()
+        if shared:
+            self.running.append(asyncio.create_task(self._listen_later(bind)))
+        else:
+            await self._listen(bind)
+
+    async def _listen(self, bind: Endpoint) -> None:
+        self.transport, _ = await self.loop.create_datagram_endpoint(lambda: self, local_addr=bind)
+        log.info("duties: other routers are heard on %s:%d", *self.transport.get_extra_info("sockname")[:2])
+        for name in self.settings.members:
+            if name != self.settings.name:
+                self._send(name, self.wire.hello(name))
+        self.looked_at = time.monotonic()
+        self.running.append(asyncio.create_task(self._look()))
+
+    async def _listen_later(self, bind: Endpoint) -> None:
+        while self.transport is None:
+            try:
+                await self._listen(bind)
+            except OSError:
+                await asyncio.sleep(AGAIN)
+
+    async def _look(self) -> None:
+        """Tell whether this process can hold a duty; a loop that stood still can't."""
+        while True:
+            now = time.monotonic()
+            stood = now - self.looked_at > self.settings.unwell + LOOK
+            self.looked_at = now
+            self.post(said.Able(self.able() and not stood and not self.closing))
+            for work in self.works.values():
+                work.look()
+            await asyncio.sleep(LOOK)
+
+    def may(self, duty: str) -> int | None:
+        """The token to act for a duty with at this very moment, or None."""
+        return self.duties.may(time.monotonic(), duty)
+
+    def post(self, event: said.Event) -> None:
+        """Let the duties hear of something, and carry out what they answer. Raises DutiesError."""
+        for action in self.duties.handle(time.monotonic(), event):
+            self._carry_out(action)
+
+    def _carry_out(self, action: said.Action) -> None:
+        match action:
+            case said.Save(memories):
+                self.unwritten = memories if self.memory is not None else None
+            case said.Say(to, items):
+                if self._written():
+                    for part in split(items, self.wire.room):
+                        self._send(to, self.wire.pack(to, part))
+            case said.Took() | said.Lost() | said.Settled():
+                self._tell_work(action)
+            case said.Obeys():
+                self._obeyed(action)
+            case said.Rests(duty, since):
+                self.heard.pop(duty, None)
+                log.info("duty %s: obeys nobody since %.6f", duty, since)
+            case said.Wake(at):
+                if self.wake is not None:
+                    self.wake.cancel()
+                if at < float("inf"):
+                    self.wake = self.loop.call_later(max(0.0, at - time.monotonic()), self.post, said.Woke())
+
+    def _tell_work(self, action: said.Took | said.Lost | said.Settled) -> None:
+        """Let what is done for a duty begin, end or go on."""
+        work = self.works.get(action.duty)
+        match action:
+            case said.Took(duty, token, value):
+                self._note(duty, f"held here under token {token}, from state {list(value)}")
+                if (lead := self.duties.leads.get(duty)) is not None and lead.guessed:
+                    log.warning("duty %s: too few remember what was ordered: it may be forgotten", duty)
+                if work is not None:
+                    work.took(token, value)
+            case said.Lost(duty, why):
+                self._note(duty, f"held here no more: {why}")
+                if work is not None:
+                    work.lost()
+            case said.Settled(_, token, number) if work is not None:
+                work.settled(token, number)
+
+    def _obeyed(self, order: said.Obeys) -> None:
+        whom = f"{order.holder} under token {order.token}"
+        if self.heard.get(order.duty) != whom:
+            self.heard[order.duty] = whom
+            log.info("duty %s: obeys %s from %.6f", order.duty, whom, time.monotonic())
+
+    def _written(self) -> bool:
+        """Whether all that must last is on the disk; until it is, not a word may go out."""
+        if self.unwritten is not None and self.memory is not None:
+            try:
+                write_memories(self.memory, self.unwritten)
+            except OSError as e:
+                bounded.log(logging.ERROR, "the memory can't be written, nothing is said: %s", e)
+                return False
+            self.unwritten = None
+        return True
+
+    def _note(self, duty: str, text: str) -> None:
+        log.info("duty %s: %s at %.6f", duty, text, time.monotonic())
+        self.moves = [*self.moves[-19:], f"{time.strftime('%Y-%m-%d %H:%M:%S')} {duty}: {text}"]
+
+    def _send(self, to: str, data: bytes) -> None:
+        if self.transport is not None and to in self.peers:
+            self.sent += 1
+            self.bytes_sent += len(data)
+            self.transport.sendto(data, self.peers[to])
+
+    def datagram_received(self, data: bytes, addr: Any) -> None:
+        try:
+            sender, message = self.wire.open(data)
+        except Dropped as e:
+            bounded.log(logging.WARNING, "a datagram of %s:%s was dropped: %s", addr[0], addr[1], e)
+            return
+        if message is Sign.STALE:
+            self._send(sender, self.wire.hello(sender))
+        elif not isinstance(message, Sign):
+            self.post(said.Heard(sender, message))
+
+    def error_received(self, exc: Exception) -> None:
+        bounded.log(logging.INFO, "a router was not reached: %s", exc)
+
+    def change(
+        self, settings: said.Settings, peers: dict[str, Endpoint], keys: tuple[bytes, tuple[bytes, ...]]
+    ) -> None:
+        """Take new settings and keys; one member, or one voter, may have come or gone.
+
+        Raises:
+            ValueError: more has changed than may; nothing is taken.
+        """
+        if peers[settings.name] != self.peers[settings.name]:
+            raise said.DutiesError("name: it can't be heard elsewhere while it runs")
+        if settings != self.settings:
+            self.post(said.Changed(settings))
+            self.settings = settings
+            self.wire.members(settings.members)
+        self.wire.seal.change(*keys)
+        self.peers = peers
+
+    def move(self, duty: str, to: str) -> str:
+        """Hand a duty over; answers with why not, or nothing."""
+        try:
+            self.post(said.Move(duty, to))
+        except said.DutiesError as e:
+            return str(e)
+        return ""
+
+    def status(self) -> dict[str, Any]:
+        """What staff may want to know; JSON-able."""
+        told = self.duties.status(time.monotonic())
+        return told | {
+            "able": self.able(),
+            "sent": self.sent,
+            "bytes_sent": self.bytes_sent,
+            "dropped": dict(self.wire.dropped),
+            "moves": self.moves,
+        }
+
+    async def close(self) -> None:
+        """Give up what is held in order, and say so to the others."""
+        self.closing = True
+        held = [name for name in self.duties.duties if self.may(name) is not None]
+        for name in held:
+            self.move(name, "")
+        for work in self.works.values():
+            await work.close()
+        until = time.monotonic() + 2 * self.settings.heartbeat
+        while time.monotonic() < until and any(name in self.duties.leads for name in held):
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(0)
+        for task in self.running:
+            task.cancel()
+        if self.wake is not None:
+            self.wake.cancel()
+        if self.transport is not None:
+            self.transport.close()
+            self.transport = None
--- a/myrtlecourse/election/core.py
+++ b/myrtlecourse/election/core.py
@@ -15,6 +15,7 @@
 from enum import Enum
 
 from myrtlecourse.election.messages import (
+    FEW,
     Able,
     Action,
     Announce,
@@ -194,7 +195,9 @@
             turn = self.invited % (settings.turns + 1)  # one more, for what the last one needs
             self.invited += 1
             for place, name in enumerate(settings.candidates):
-                if turn_of(place) == turn and name not in settings.voters:
+                # the first few again: what was said to them before may be lost
+                due = turn_of(place) == turn or (place < FEW and place < turn)
+                if due and name not in settings.voters:
                     self.out.append(Tell(name, Invite(self.term)))
 
     def _next_invitation(self) -> float:
--- a/myrtlecourse/fleet/faults.py
+++ b/myrtlecourse/fleet/faults.py
@@ -16,7 +16,8 @@
 class Step:
     """What happens to one part of the fleet: `do` to `target` at so many seconds after the start.
 
-    `target` is a box, `origin`, `discovery` or `router-N`; `value` is the factor of a pace or the share of
+    `target` is a box, `origin`, `discovery`, `router-N` or `holder-DUTY-N` (who holds a duty when the fault
+    with that number begins); `value` is the factor of a pace or the share of
     spoilt answers; `lasts` tells how long it will be so, where a later step ends it.
     """
 
@@ -36,21 +37,27 @@
     return scenario.zones[number % len(scenario.zones)]
 
 
+def holder_target(duty: str, number: int) -> str:
+    """Who holds a duty when a fault begins, by the fault's number."""
+    return f"holder-{duty}-{number}"
+
+
 def steps(scenario: told.Scenario) -> list[Step]:
     """All steps in their order."""
     chance = random.Random(f"{scenario.seed} faults")
     found: list[Step] = []
-    for fault in scenario.faults:
-        found += _steps(scenario, fault, chance)
+    for number, fault in enumerate(scenario.faults):
+        if isinstance(fault, told.Restart | told.Upgrade | told.Stall):
+            found += _of_router(fault, number)
+        elif isinstance(fault, told.Split | told.Unreached):
+            found += _of_some(scenario, fault, number)
+        else:
+            found += _steps(scenario, fault, chance)
     return sorted(found, key=lambda s: s.at)
 
 
 def _steps(scenario: told.Scenario, fault: told.Fault, chance: random.Random) -> list[Step]:
     at = fault.at
-    if isinstance(fault, told.Restart | told.Upgrade | told.Stall):
-        return _of_router(fault)
-    if isinstance(fault, told.Split | told.Unreached):
-        return _of_some(scenario, fault)
 
     def lasting(first: str, last: str, target: str, value: float = 0.0) -> list[Step]:
         seconds: float = getattr(fault, "seconds")  # noqa: B009  (of those faults that last)
@@ -85,8 +92,10 @@
     return []  # a hot key is the load's part
 
 
-def _of_router(fault: told.Restart | told.Upgrade | told.Stall) -> list[Step]:
+def _of_router(fault: told.Restart | told.Upgrade | told.Stall, number: int) -> list[Step]:
     target = f"router-{fault.router}"
+    if not isinstance(fault, told.Upgrade) and fault.holder is not None:
+        target = holder_target(fault.holder, number)
     match fault:
         case told.Stall():
             stall = Step(fault.at, "stall", target, 0.0, fault.seconds)
@@ -103,10 +112,12 @@
     return [box for i, box in enumerate(scenario.boxes()) if zone_of(scenario, i) == fault.zone]
 
 
-def _of_some(scenario: told.Scenario, fault: told.Split | told.Unreached) -> list[Step]:
+def _of_some(scenario: told.Scenario, fault: told.Split | told.Unreached, number: int) -> list[Step]:
     """What happens between some routers and the others, or some servers."""
     numbers = fault.routers or [n for n in range(scenario.routers) if zone_of(scenario, n) == fault.zone]
     routers = tuple(f"router-{n}" for n in numbers)
+    if isinstance(fault, told.Split) and fault.holder is not None:
+        routers = (*routers, holder_target(fault.holder, number))
     at, until = fault.at, fault.at + fault.seconds
     if isinstance(fault, told.Split):
         way = float(fault.one_way)
--- a/myrtlecourse/fleet/scenario.py
+++ b/myrtlecourse/fleet/scenario.py
@@ -97,6 +97,29 @@
     elsewhere: Share = 1.0
 
 
+class DutyOf(Struct, forbid_unknown_fields=True, frozen=True):
+    """A duty in numbered steps, whose command writes down that it was run."""
+
+    name: Name
+    preferred: tuple[int, ...] = ()  # routers, counted from 0
+    every: Positive = 0.3
+    good_for: Positive = 0.5
+
+
+class Duties(Struct, forbid_unknown_fields=True, frozen=True):
+    """Duties that one router holds at a time, over the network of `peers`."""
+
+    voters: Annotated[tuple[int, ...], Meta(min_length=1, max_length=7)]  # routers, counted from 0
+    each: Annotated[tuple[DutyOf, ...], Meta(min_length=1, max_length=16)]
+    memory: bool = True  # each router has a file of its own
+    heartbeat: Positive = 0.1
+    lease: Positive = 0.5
+    settle: Time = 0.3
+    unwell: Time = 0.3
+    unheard: Positive = 1.5
+    brake: Positive = 2.0
+
+
 class Freeze(Struct, forbid_unknown_fields=True, frozen=True, tag="freeze", tag_field="what"):
     """The process stands still, and goes on where it stood."""
 
@@ -194,7 +217,8 @@
     """A router is ended and started anew, with the list that it was first given. Killed, or asked to end."""
 
     at: Time
-    router: Annotated[int, Meta(ge=0)]
+    router: Annotated[int, Meta(ge=0)] | None = None  # by number, or
+    holder: str | None = None  # who holds this duty by then
     kill: bool = False
 
 
@@ -202,8 +226,9 @@
     """A router's process stands still (SIGSTOP) and goes on where it stood; its clients and servers wait."""
 
     at: Time
-    router: Annotated[int, Meta(ge=0)]
     seconds: Positive
+    router: Annotated[int, Meta(ge=0)] | None = None  # by number, or
+    holder: str | None = None  # who holds this duty by then
 
 
 class Split(Struct, forbid_unknown_fields=True, frozen=True, tag="split", tag_field="what"):
@@ -213,6 +238,7 @@
     seconds: Positive
     routers: tuple[int, ...] = ()  # by number, or
     zone: str | None = None  # all routers of a zone
+    holder: str | None = None  # and who holds this duty by then
     one_way: bool = False  # they hear, and are not heard
 
 
@@ -277,6 +303,7 @@
     origin: Origin | None = None  # none: boxes get what they lack by themselves, and run writes
     discovery: Discovery = Discovery()
     peers: Peers | None = None  # none: routers share nothing
+    duties: Duties | None = None
     classes: Annotated[tuple[RequestClass, ...], Meta(min_length=1)] = (RequestClass("read"),)
     rules: Rules = Rules()
     faults: tuple[Fault, ...] = ()
@@ -290,6 +317,8 @@
                 raise ValueError(f"a name stands twice in `{what}`")
         if len(set(self.zones)) < len(self.zones):
             raise ValueError("a name stands twice in `zones`")
+        if self.duties is not None and self.peers is None:
+            raise ValueError("duties: they go over the network of `[peers]`")
         boxes = set(self.boxes())
         for i, fault in enumerate(self.faults):
             self._check(f"faults[{i}] ({fault.__struct_config__.tag})", fault, boxes)
@@ -305,7 +334,8 @@
         if isinstance(fault, Unreached) and (fault.box is None) == (fault.boxes is None):
             raise ValueError(f"{where}: wants `box` or `boxes`")
         if isinstance(fault, Unreached | Split):
-            if bool(fault.routers) == (fault.zone is not None):
+            some = bool(fault.routers) or getattr(fault, "holder", None) is not None
+            if some == (fault.zone is not None):
                 raise ValueError(f"{where}: wants `routers` or `zone`")
             if any(not 0 <= n < self.routers for n in fault.routers):
                 raise ValueError(f"{where}: there are {self.routers} routers, counted from 0")
@@ -314,8 +344,18 @@
         for zone in (getattr(fault, "zone", None), getattr(fault, "boxes", None)):
             if zone is not None and zone not in self.zones:
                 raise ValueError(f"{where}: no zone is named {zone!r}")
-        if isinstance(fault, Restart | Upgrade | Stall) and fault.router >= self.routers:
+        if isinstance(fault, Restart | Upgrade | Stall):
+            self._check_router(where, fault.router, getattr(fault, "holder", None))
+        elif isinstance(fault, Split) and fault.holder is not None:
+            self._check_router(where, None, fault.holder)
+
+    def _check_router(self, where: str, router: int | None, holder: str | None) -> None:
+        if (router is None) == (holder is None):
+            raise ValueError(f"{where}: wants `router` or `holder`")
+        if router is not None and router >= self.routers:
             raise ValueError(f"{where}: there are {self.routers} routers, counted from 0")
+        if holder is not None and holder not in [d.name for d in (self.duties.each if self.duties else ())]:
+            raise ValueError(f"{where}: no duty is named {holder!r}")
 
     def operated(self) -> bool:
         """Whether routers are called by operators, or started beside themselves."""
--- a/myrtlecourse/fleet/session.py
+++ b/myrtlecourse/fleet/session.py
@@ -18,16 +18,19 @@
 
 from myrtlecourse.audit import observations as seen
 from myrtlecourse.audit.auditor import Auditor, Rules
+from myrtlecourse.fleet.duty_logs import holder_of, observed, step_command
 from myrtlecourse.fleet.faults import Step, hot_keys, steps
 from myrtlecourse.fleet.operators import Operators
 from myrtlecourse.fleet.routers import RouterError, Routers
-from myrtlecourse.fleet.scenario import Peers, Scenario
+from myrtlecourse.fleet.scenario import Duties, Peers, Scenario
 from myrtlecourse.fleet.stand_in import Fleet
+from myrtlecourse.fleet.ways import Relays
 from myrtlecourse.load.profile import Profile
 from myrtlecourse.load.record import Record
 from myrtlecourse.load.run import Job, run
 
 LOG = "fleet.jsonl"
+DUTIES_LOG = "duties.jsonl"
 START_TIME = 60.0  # seconds for the fleet and its routers to be ready
 END_TIME = 15.0  # seconds for all to end
 
@@ -71,8 +74,8 @@
             self.routers.do(step)
 
 
-def operators_file(peers: Peers, folder: Path, name: str) -> Path:
-    """A router's operators' file, by which it leaves zones with the others."""
+def operators_file(peers: Peers, duties: Duties | None, relays: Relays, folder: Path, name: str) -> Path:
+    """A router's operators' file, by which it leaves zones with the others and has its part in duties."""
     key = folder / "peers.key"
     if not key.exists():
         key.write_bytes(os.urandom(32))
@@ -82,10 +85,34 @@
         f"leave_origin = {str(peers.leave_origin).lower()}\ninterval = {peers.interval}\n"
         f"own_region = {peers.own_region}\nelsewhere = {peers.elsewhere}\n[fleet.regions]\n"
         + "".join(f"{region} = {json.dumps(zones)}\n" for region, zones in peers.regions.items())
+        + ("" if duties is None else duties_table(duties, relays, folder, name))
     )
     return path
 
 
+def duties_table(duties: Duties, relays: Relays, folder: Path, name: str) -> str:
+    """Its part in duties; each other router is heard at the end of a way of its own."""
+    heard_at = relays.heard_at
+    at = {other: "{}:{}".format(*relays.at.get((name, other), heard_at[other])) for other in heard_at}
+    peers = ", ".join(f'{{name = "{other}", at = "{place}"}}' for other, place in at.items())
+    lines = [
+        "[duties]",
+        f'name = "{name}"\nkey_file = "{folder / "peers.key"}"\npeers = [{peers}]',
+        f"voters = {json.dumps([f'router-{n}' for n in duties.voters])}",
+        *([f'memory_file = "{folder / f"{name}.memory"}"'] if duties.memory else []),
+        f"heartbeat = {duties.heartbeat}\nlease = {duties.lease}\nsettle = {duties.settle}",
+        f"unwell = {duties.unwell}\nunheard = {duties.unheard}\nbrake = {duties.brake}",
+    ]
+    for duty in duties.each:
+        preferred = json.dumps([f"router-{n}" for n in duty.preferred])
+        command = json.dumps(step_command(folder, duty.name, name))
+        lines += [
+            f'[[duties.duty]]\nname = "{duty.name}"\npreferred = {preferred}\ncommand = {command}',
+            f"every = {duty.every}\ngood_for = {duty.good_for}",
+        ]
+    return "\n".join(lines) + "\n"
+
+
 async def stand_up(scenario: Scenario, folder: Path, command: str | None) -> Standing:
     """Bring up a fleet and, with a command, its routers.
 
@@ -101,8 +128,11 @@
         return standing
     standing.routers = Routers(fleet.routers, command, folder, log.add)
     fleet.of_routers = standing.do
+    fleet.holder_of = partial(holder_of, folder)
     try:
-        file = None if scenario.peers is None else partial(operators_file, scenario.peers, folder)
+        file = None
+        if scenario.peers is not None:
+            file = partial(operators_file, scenario.peers, scenario.duties, fleet.duty_relays, folder)
         await standing.routers.start(fleet.configuration, file)
     except RouterError:
         await standing.close()
@@ -208,6 +238,11 @@
 
 def audit(folder: Path, rules: Rules) -> dict[str, Any]:
     """Judge the observations in a folder. Raises ObservationError."""
+    if told := observed(folder):
+        log = seen.Log(folder / DUTIES_LOG)
+        for each in told:
+            log.add(each)
+        log.close()
     paths = sorted(folder.glob("*.jsonl"))
     if not paths:
         raise seen.ObservationError(f"{folder}: no observations (*.jsonl) in it")
--- a/myrtlecourse/fleet/stand_in.py
+++ b/myrtlecourse/fleet/stand_in.py
@@ -7,6 +7,7 @@
 import time
 from collections import OrderedDict
 from collections.abc import Callable
+from dataclasses import replace
 from functools import partial
 from typing import Any
 
@@ -22,7 +23,7 @@
 from myrtlecourse.fleet.ports import Port
 from myrtlecourse.fleet.registry import Registry
 from myrtlecourse.fleet.scenario import Scenario
-from myrtlecourse.fleet.ways import Relays, Ways, part, places
+from myrtlecourse.fleet.ways import Relays, Ways, part
 
 SWEEP = 0.25  # seconds between looks for idle connections of origin and discovery
 MISSES = 100_000  # that wait for the origin's answer; the oldest are forgotten
@@ -47,9 +48,12 @@
         self.discovery = DiscoveryServer(self.registry, scenario.discovery.lines_a_second, observe)
         self.ways = Ways(scenario.seed)  # between routers
         self.relays = Relays(self.ways)
+        self.duty_relays = Relays(self.ways)  # of words on duties
         self.missed: OrderedDict[str, list[BoxServer]] = OrderedDict()  # request: the boxes that lacked it
         self.timers: list[asyncio.TimerHandle] = []
         self.starting: set[asyncio.Task[None]] = set()
+        self.roles: dict[str, str] = {}  # who held a duty when a fault began
+        self.holder_of: Callable[[str], str] = lambda duty: ""
         self.of_routers: Callable[[Step], None] = lambda step: None  # whose processes are another's
 
     def _box(self, name: str) -> BoxServer:
@@ -73,7 +77,9 @@
         if self.scenario.peers is not None:
             told, ways = self.scenario.peers, self.ways
             ways.loss, ways.copies, ways.delay, ways.spread = told.loss, told.copies, told.delay, told.spread
-            await self.relays.join(places(self.routers))
+            await self.relays.join(self.relays.places(self.routers))
+        if self.scenario.duties is not None:
+            await self.duty_relays.join(self.duty_relays.places(self.routers))
         for name, zone in self.layout.zones.items():
             self.observe(seen.Stands(time.monotonic(), name, zone))
         self._sweep()
@@ -136,6 +142,7 @@
 
     def do(self, step: Step) -> None:
         """Let one thing happen."""
+        step = self._named(step)
         if step.target.startswith("router-"):
             self.of_routers(step)
         elif step.target == "discovery":
@@ -152,6 +159,16 @@
         else:
             self._to_box(step, self.boxes[step.target])
 
+    def _named(self, step: Step) -> Step:
+        """The step with whoever held a duty, when its fault began, by name; nobody is taken for the first
+        router."""
+        for target in (step.target, *step.routers):
+            if target.startswith("holder-") and target not in self.roles:
+                duty = target.removeprefix("holder-").rpartition("-")[0]
+                self.roles[target] = self.holder_of(duty) or self.routers[0]
+        routers = tuple(self.roles.get(r, r) for r in step.routers)
+        return replace(step, target=self.roles.get(step.target, step.target), routers=routers)
+
     def _to_origin(self, step: Step) -> None:
         assert self.origin is not None
         if step.do == "pace":
@@ -224,3 +241,4 @@
             self.origin.close()
         self.discovery.close()
         self.relays.close()
+        self.duty_relays.close()
--- a/myrtlecourse/fleet/ways.py
+++ b/myrtlecourse/fleet/ways.py
@@ -9,7 +9,6 @@
 import random
 import socket
 from collections.abc import Iterable
-from contextlib import suppress
 from typing import cast
 
 from myrtlecourse.fleet.faults import Step
@@ -83,25 +82,6 @@
             self.transport.sendto(data, there)
 
 
-def places(names: Iterable[str]) -> dict[str, tuple[str, int]]:
-    """An address for each router to hear the others at, free just now.
-
-    Below the ports that the system gives out by itself: one of those would be another's by the time that the
-    router listens.
-    """
-    chance, probes, found = random.SystemRandom(), [], {}
-    for name in names:
-        while name not in found:
-            probe = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-            probes.append(probe)
-            with suppress(OSError):
-                probe.bind(("127.0.0.1", chance.randrange(*PORTS)))
-                found[name] = probe.getsockname()
-    for probe in probes:
-        probe.close()
-    return found
-
-
 class Relays:
     """A socket for each way."""
 
@@ -110,6 +90,29 @@
         self.heard_at: dict[str, tuple[str, int]] = {}  # where each router hears the others
         self.at: dict[Way, tuple[str, int]] = {}  # where to send for another
         self.transports: list[asyncio.DatagramTransport] = []
+        self.reserved: list[socket.socket] = []
+
+    def places(self, names: Iterable[str]) -> dict[str, tuple[str, int]]:
+        """An address for each router to hear the others at, free just now.
+
+        Below the ports that the system gives out by itself: one of those would be another's by the time that
+        the router listens. And kept from other fleets on this machine by a socket of another kind at the same
+        port, until these relays end.
+        """
+        chance, found = random.SystemRandom(), dict[str, tuple[str, int]]()
+        for name in names:
+            while name not in found:
+                keeps = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+                try:
+                    keeps.bind(("127.0.0.1", chance.randrange(*PORTS)))
+                    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+                        probe.bind(keeps.getsockname())
+                except OSError:
+                    keeps.close()
+                    continue
+                self.reserved.append(keeps)
+                found[name] = keeps.getsockname()
+        return found
 
     async def join(self, heard_at: dict[str, tuple[str, int]]) -> None:
         """Open a way between any two."""
@@ -127,3 +130,5 @@
         """End them."""
         for transport in self.transports:
             transport.close()
+        for keeps in self.reserved:
+            keeps.close()
--- a/myrtlecourse/operators.py
+++ b/myrtlecourse/operators.py
@@ -13,6 +13,7 @@
 from msgspec import Meta, Struct
 
 from myrtlecourse.config import ConfigError
+from myrtlecourse.duties import messages as duties
 from myrtlecourse.election.messages import ElectionError, Settings
 
 Seconds = Annotated[float, Meta(gt=0.0, le=3600.0)]
@@ -123,11 +124,67 @@
             raise ValueError("peers: a port lies between 1 and 65535")
 
 
+class Duty(Struct, forbid_unknown_fields=True, frozen=True):
+    """One duty: with `every` in numbered steps, `COMMAND step NUMBER TOKEN`; else it is held, and `COMMAND
+    take TOKEN` and `leave TOKEN` tell so."""
+
+    name: Name
+    preferred: Annotated[tuple[Name, ...], Meta(max_length=255)] = ()  # who may hold it; none: all, spread
+    good_for: Seconds = 2.0  # for which an order is obeyed
+    every: Seconds | None = None
+    command: Annotated[tuple[str, ...], Meta(max_length=64)] = ()
+    timeout: Seconds = 10.0  # of the command
+
+    def __post_init__(self) -> None:
+        if self.every is not None and not self.command:
+            raise ValueError("`every` wants `command`")
+
+
+class Duties(Struct, forbid_unknown_fields=True, frozen=True):
+    """This router's part in duties that one router holds at a time."""
+
+    key_file: str
+    name: Name
+    peers: Annotated[tuple[Peer, ...], Meta(min_length=1, max_length=255)]  # itself too
+    voters: Annotated[tuple[Name, ...], Meta(min_length=1, max_length=7)]
+    duty: Annotated[tuple[Duty, ...], Meta(min_length=1, max_length=16)]
+    listen: Endpoint | None = None  # where not at its own address among the peers
+    also_key_files: Annotated[tuple[str, ...], Meta(max_length=2)] = ()
+    memory_file: str | None = None  # none: a process that starts anew remembers nothing
+    heartbeat: Seconds = 0.5
+    lease: Seconds = 2.0
+    drift: Annotated[float, Meta(ge=0.0, le=0.1)] = 0.02
+    settle: Annotated[float, Meta(ge=0.0, le=3600.0)] = 2.0
+    unwell: Annotated[float, Meta(ge=0.0, le=3600.0)] = 1.0
+    unheard: Seconds = 4.0
+    brake: Seconds = 8.0
+
+    def __post_init__(self) -> None:
+        if len({p.at for p in self.peers}) < len(self.peers):
+            raise ValueError("peers: two of them share an address")
+        if any(not 0 < int(p.at.rpartition(":")[2]) < 65536 for p in self.peers):
+            raise ValueError("peers: a port lies between 1 and 65535")
+        self.settings()
+
+    def settings(self) -> duties.Settings:
+        """The settings of its duties. Raises DutiesError."""
+        each = tuple(
+            duties.Duty(d.name, d.preferred, d.good_for, (0, 0, 0) if d.every else (), d.every is not None)
+            for d in self.duty
+        )
+        members = tuple(p.name for p in self.peers)
+        return duties.Settings(
+            *(self.name, members, self.voters, each, self.heartbeat, self.lease, self.drift),
+            *(self.settle, self.unwell, self.unheard, self.brake),
+        )
+
+
 class OperatorsFile(Struct, forbid_unknown_fields=True, frozen=True):
     """The whole of it."""
 
     address: Address | None = None
     fleet: Fleet | None = None
+    duties: Duties | None = None
 
 
 def read_operators(path: Path) -> OperatorsFile:
--- a/myrtlecourse/ops/calls.py
+++ b/myrtlecourse/ops/calls.py
@@ -14,6 +14,7 @@
 MAX_NAME = 256  # bytes of a cache server's id
 SERVERS = "/control/cache-servers/"
 ZONES = "/control/zones/"
+DUTIES = "/control/duties/"
 MOVE_TO = "/control/address/move/"
 USUAL_ORDER = 600.0  # seconds that an order on a zone holds
 LONGEST_ORDER = 65_000.0
@@ -32,6 +33,8 @@
     FLEET = "fleet"
     ZONE_OUT = "out"
     ZONE_IN = "in"
+    DUTIES = "duties"
+    DUTY_MOVE = "duty move"
 
 
 PATHS = {
@@ -41,6 +44,7 @@
     "/control/address": Kind.ADDRESS,
     "/control/address/move": Kind.MOVE,
     "/control/fleet": Kind.FLEET,
+    "/control/duties": Kind.DUTIES,
 }
 
 
@@ -51,6 +55,7 @@
     kind: Kind
     server: str = ""  # of a ban; or the router to which the address is to move; or a zone
     seconds: float = USUAL_ORDER  # for which an order on a zone holds
+    duty: str = ""  # that is to move
 
 
 @dataclass(slots=True, frozen=True)
@@ -69,6 +74,8 @@
     kind, server = PATHS.get(path), ""
     if kind is None and path.startswith(MOVE_TO):
         kind, server = Kind.MOVE, path.removeprefix(MOVE_TO)[:MAX_NAME]
+    if path.startswith(DUTIES):
+        return read_move(method, path.removeprefix(DUTIES))
     seconds = USUAL_ORDER
     for start, kinds in ((SERVERS, (Kind.OFFLINE, Kind.ONLINE)), (ZONES, (Kind.ZONE_OUT, Kind.ZONE_IN))):
         if kind is not None or not path.startswith(start):
@@ -89,12 +96,27 @@
         seconds = float(value)
     if kind is None:
         return Answer(HTTPStatus.NOT_FOUND, "no such call")
-    allowed = "GET" if kind in (Kind.READY, Kind.ADDRESS, Kind.FLEET) else "PUT"
+    allowed = "GET" if kind in (Kind.READY, Kind.ADDRESS, Kind.FLEET, Kind.DUTIES) else "PUT"
     if method != allowed.encode():
         return Answer(HTTPStatus.METHOD_NOT_ALLOWED, f"this call is a {allowed}", allowed)
     return Call(kind, server, seconds)
 
 
+def read_move(method: bytes, rest: str) -> Call | Answer:
+    """A duty's move: `NAME/move` or `NAME/move/TO`."""
+    escaped, _, verb = rest.partition("/")
+    verb, _, to = verb.partition("/")
+    try:
+        duty, to = unquote_to_bytes(escaped).decode(), unquote_to_bytes(to).decode()
+    except UnicodeDecodeError:
+        return Answer(HTTPStatus.BAD_REQUEST, "the name is not UTF-8")
+    if verb != "move" or not 0 < len(duty) <= MAX_NAME or len(to) > MAX_NAME:
+        return Answer(HTTPStatus.NOT_FOUND, "no such call")
+    if method != b"PUT":
+        return Answer(HTTPStatus.METHOD_NOT_ALLOWED, "this call is a PUT", "PUT")
+    return Call(Kind.DUTY_MOVE, to, duty=duty)
+
+
 class Exchange:
     """One call on its connection."""
 
--- a/myrtlecourse/service.py
+++ b/myrtlecourse/service.py
@@ -35,12 +35,14 @@
 
 if TYPE_CHECKING:
     from myrtlecourse.address.keeper import Keeper
-    from myrtlecourse.operators import Address, Fleet, OperatorsFile
+    from myrtlecourse.duties.keeper import Keeper as DutyKeeper
+    from myrtlecourse.operators import Address, Duties, Fleet, OperatorsFile
     from myrtlecourse.peers.speaker import Speaker
 
 LONGEST_END = 3.0  # seconds after NOTICE until all deadlines are past; SIGKILL may come 0.2 s later
 RESERVE = 32  # descriptors for the loop, the log, the listener, discovery and operators
 SECOND_RESERVE = 16  # the same of another process while two live, which has no more than it needs
+LEAST_SHARE = 0.1  # of commands let in by a full core, below which a router holds no duty
 FORMER = 2.0  # seconds for which a dropped class is still taken: commands under way when it was dropped
 LOOK = 0.1  # seconds between looks for what another process of an upgrade was told
 FIRST_LIST = 1.0  # seconds to wait for a fresh list at an upgrade, before the one held has to do
@@ -90,6 +92,7 @@
         self.operators = Path(operators) if operators else None  # their file
         self.keeper: Keeper | None = None  # of the service address, where it may move
         self.speaker: Speaker | None = None  # to other routers, where they talk
+        self.duties: DutyKeeper | None = None  # that one router holds at a time
 
     def _subscribe(self) -> None:
         self.discovery.subscribe()
@@ -136,6 +139,8 @@
             self.speaker.close()
         if self.keeper is not None:
             await self.keeper.close()
+        if self.duties is not None:
+            await self.duties.close()
         await self.listener.stop(NOTICE, LONGEST_END)
         if watch is not None:
             watch.cancel()
@@ -171,6 +176,8 @@
             return self._of_address(call)
         if call.kind in (Kind.FLEET, Kind.ZONE_OUT, Kind.ZONE_IN):
             return self._of_fleet(call)
+        if call.kind is Kind.DUTIES or call.kind is Kind.DUTY_MOVE:
+            return self._of_duties(call)
         try:
             if call.kind is Kind.OUT_OF_SERVICE or call.kind is Kind.IN_SERVICE:
                 await self.store.change(lambda o: o.service(call.kind is Kind.OUT_OF_SERVICE))
@@ -203,6 +210,8 @@
             await self._join_fleet(told.fleet, path)
         if told.address is not None:
             await self._keep_address(told.address, path)
+        if told.duties is not None:
+            await self._keep_duties(told.duties, path)
 
     @staticmethod
     def _read_operators(path: Path) -> OperatorsFile:
@@ -257,6 +266,30 @@
         except OSError as e:
             raise ConfigError(f"{path}: address.peers: {own}: {e}") from e
 
+    async def _keep_duties(self, table: Duties, path: Path) -> None:
+        """Take part in the duties of the fleet."""
+        from myrtlecourse.duties.setup import keeper, peers  # noqa: PLC0415  (an extra)
+
+        def able() -> bool:
+            """An emptied router holds nothing, and one whose core is full."""
+            return self.host.in_service and self.door.share >= LEAST_SHARE
+
+        self.duties = keeper(table, able)
+        own = address_of(table.listen) if table.listen is not None else peers(table)[table.name]
+        try:
+            await self.duties.start(own, shared=self.inherited is not None)
+        except OSError as e:
+            raise ConfigError(f"{path}: duties: {e}") from e
+
+    def _of_duties(self, call: Call) -> Answer:
+        if self.duties is None:
+            return Answer(HTTPStatus.NOT_FOUND, "this router has no part in duties")
+        if call.kind is Kind.DUTIES:
+            return Answer(HTTPStatus.OK, orjson.dumps(self.duties.status()).decode())
+        if why := self.duties.move(call.duty, call.server):
+            return Answer(HTTPStatus.CONFLICT, why)
+        return Answer(HTTPStatus.OK, "moving")
+
     def _held(self, here: bool) -> None:
         """The service address has come, or is gone: then nothing is accepted, and what was taken ends."""
         self.host.addressed = here
@@ -342,6 +375,8 @@
                 self._reload_address(self.keeper, told.address)
             if self.speaker is not None:
                 self._reload_fleet(self.speaker, told.fleet)
+            if self.duties is not None:
+                self._reload_duties(self.duties, told.duties)
         except ValueError as e:
             logging.error("operators' file not taken, the old one stays: %s", e)
 
@@ -361,6 +396,16 @@
         keeper.words.link = link(table)
         logging.info("the address's keys and link are those of the file")
 
+    @staticmethod
+    def _reload_duties(keeper: DutyKeeper, table: Duties | None) -> None:
+        """Members, voters, times and keys; the duties themselves need a restart. Raises ValueError."""
+        from myrtlecourse.duties.setup import keys, peers  # noqa: PLC0415  (an extra)
+
+        if table is None:
+            raise ConfigError("the table `duties` was there at the start and is missing")
+        keeper.change(table.settings(), peers(table), keys(table))
+        logging.info("duties: %d routers, voters %s", len(table.peers), ", ".join(table.voters))
+
     def _reload_fleet(self, speaker: Speaker, table: Fleet | None) -> None:
         """Everything but this router's name and zone, and where it is heard. Raises ValueError."""
         from myrtlecourse.zones.setup import part  # noqa: PLC0415  (an extra)
--- a/myrtlecourse/zones/verdict.py
+++ b/myrtlecourse/zones/verdict.py
@@ -53,7 +53,7 @@
     heard: int = 0
     refused: int = 0
     silent: int = 0
-    witnesses: int = 0  # routers most of whose attempts did not come through: a doubt or two is none
+    witnesses: int = 0  # routers that have seen it, by more than a doubt
     run: int = 0  # that did not since the last one that did, at each of them
     runners: int = 0  # routers to which nothing came through since
     others: int = 0  # routers to which the last one did
@@ -88,7 +88,7 @@
         sum(t.heard for t in each),
         sum(t.refused for t in each),
         sum(t.silent for t in each),
-        sum(t.bad > t.heard for t in each),
+        sum(witness(t.bad, t.heard, t.run) for t in each),
         *runs(each),
     )
 
@@ -100,11 +100,20 @@
         sum(t.heard_long for t in each),
         sum(t.refused_long for t in each),
         sum(t.silent_long for t in each),
-        sum(t.bad_long > t.heard_long for t in each),
+        sum(witness(t.bad_long, t.heard_long, t.run) for t in each),
         *runs(each),
     )
 
 
+def witness(bad: int, heard: int, run: int) -> bool:
+    """Whether a router has seen it: most of its attempts did not come through, or none of the last few.
+
+    Guards a zone that one router alone can't reach, whose many failures and another's one late answer would
+    do.
+    """
+    return bad > 0 and (bad > heard or run >= DOUBTS)
+
+
 def runs(tallies: list[Tally]) -> tuple[int, int, int, int, int]:
     """How many attempts in a row did not come through, at how many routers; at how many the last one did, and
     how many did lately."""
--- /dev/null
+++ b/tests/test_duty_faults.py
@@ -0,0 +1,235 @@
+"""Seven real routers and two duties, with faults between them: who is obeyed, what is done, and how soon."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import shlex
+import sys
+import time
+from collections import Counter
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+
+from myrtlecourse.audit import observations as seen
+from myrtlecourse.fleet.routers import COMMAND
+from myrtlecourse.fleet.scenario import Scenario
+from myrtlecourse.fleet.session import Outcome, play, stand_up
+from myrtlecourse.load.profile import Profile
+
+ROUTERS = 7
+VOTERS = (0, 1, 2)
+AT = 4.0
+SECONDS = 11.0
+NETWORK = {"copies": 0.2, "spread": 0.02}  # one in five twice, and out of order
+LOSSY = NETWORK | {"loss": 0.3}
+# `purge` is held by one without a vote, `tidy` by a voter
+EACH = [{"name": "purge", "preferred": [3, 4, 0]}, {"name": "tidy", "preferred": [0, 1, 5]}]
+# reckoned from the settings: the lease, ten heartbeats, an order's time; and a machine that is busy
+GAP = 0.5 + 1.2 + 0.6 + 2.5
+HOUSE = Path(__file__).parent.parent
+
+
+def scenario(faults: list[dict[str, Any]], gap: float = GAP, **changes: Any) -> Scenario:
+    plain = {
+        "seconds": SECONDS,
+        "routers": ROUTERS,
+        "kinds": [{"name": "std", "boxes": 4, "cores": 4}],
+        "classes": [{"name": "read", "work": 0.002, "aim": 0.5, "deadline": 1.5}],
+        "peers": NETWORK,
+        "duties": {"voters": list(VOTERS), "each": EACH},
+        "rules": {"duty_gap": gap},
+        "faults": faults,
+    }
+    return msgspec.convert(plain | changes, Scenario)
+
+
+PROFILE = {
+    "pieces": [{"seconds": SECONDS - 0.5, "rate": 70.0}],
+    "classes": [{"name": "read", "aim": 0.5, "deadline": 1.5}],
+    "keys": {"count": 100},
+}
+
+
+class Played:
+    """What came of a run."""
+
+    def __init__(self, folder: Path, told: Scenario, way: str = "") -> None:
+        command = f"{shlex.quote(sys.executable)} -m tests.wrong_duties {way}" if way else COMMAND
+        profile = msgspec.convert(PROFILE, Profile)
+        self.outcome: Outcome = play(told, profile, folder, command, 1, lambda at, counts: None)
+        self.verdict = self.outcome.verdict
+        each = list(seen.merged(sorted(folder.glob("*.jsonl"))))
+        self.began = next(o.at for o in each if isinstance(o, seen.Asked))
+        self.took = [o for o in each if isinstance(o, seen.Holds) and o.token]
+        self.did = [o for o in each if isinstance(o, seen.Did)]
+        self.logs = {log.stem: log.read_text() for log in sorted(folder.glob("router-*.log"))}
+
+    def kept(self) -> None:
+        """The four rules, and those on duties; nobody crashed."""
+        assert self.verdict["kept"], self.verdict["named"]
+        assert not self.outcome.faults
+
+    def holders(self, duty: str, after: float) -> list[str]:
+        """Who took a duty so long after the load began (or before it), in their order."""
+        return [o.router for o in self.took if o.duty == duty and o.at - self.began >= after]
+
+    def steps(self, duty: str, after: float) -> int:
+        """Steps done since then."""
+        return sum(o.duty == duty and o.at - self.began >= after for o in self.did)
+
+
+def stall(duty: str, seconds: float) -> dict[str, Any]:
+    return {"what": "stall", "at": AT, "holder": duty, "seconds": seconds}
+
+
+def split(routers: list[int], seconds: float = 4.0, **more: Any) -> dict[str, Any]:
+    return {"what": "split", "at": AT, "routers": routers, "seconds": seconds, **more}
+
+
+@pytest.mark.parametrize("duty", ["purge", "tidy"])
+def test_a_holder_that_is_stopped_is_followed_and_does_nothing_when_it_wakes(
+    duty: str, tmp_path: Path
+) -> None:
+    played = Played(tmp_path, scenario([stall(duty, 4.0)]))
+    played.kept()
+    assert played.holders(duty, AT)[0] != played.holders(duty, -AT)[0], played.took
+    assert played.steps(duty, AT + 5.0) >= 2
+
+
+def test_holders_that_are_killed_are_followed_and_what_they_did_is_not_done_again(tmp_path: Path) -> None:
+    faults = [{"what": "restart", "at": AT, "holder": duty, "kill": True} for duty in ("purge", "tidy")]
+    played = Played(tmp_path, scenario(faults, peers=LOSSY, gap=2 * GAP))
+    played.kept()
+    for duty in ("purge", "tidy"):
+        assert played.holders(duty, AT) and played.steps(duty, AT + 5.0) >= 2
+        steps = sorted(o.step for o in played.did if o.duty == duty)
+        # one that was claimed as its holder died may be left out, and nothing else
+        assert steps[-1] - len(steps) <= 1, steps
+
+
+def test_a_holder_with_most_members_and_without_the_voters_is_followed_on_their_side(tmp_path: Path) -> None:
+    """Members then obey nobody, as no majority of them is on the voters' side; nobody holds until it ends."""
+    played = Played(tmp_path, scenario([split([3, 4, 5, 6])], gap=0.0))
+    played.kept()
+    during = [o for o in played.did if AT + 1.5 <= o.at - played.began < AT + 4.0]
+    assert not during
+    assert played.steps("purge", AT + 5.0) >= 3 and played.steps("tidy", AT + 5.0) >= 3
+
+
+def test_a_holder_with_the_voters_and_without_most_members_gives_up_and_another_tries(tmp_path: Path) -> None:
+    """Router 0 reaches 1 and 2 alone; when members can be reached again somebody is obeyed."""
+    faults = [split([0, 1, 2])]
+    played = Played(tmp_path, scenario(faults, gap=0.0))
+    played.kept()
+    assert "not heard by enough" in "".join(played.logs.values())
+    assert played.steps("tidy", AT + 6.0) >= 1
+
+
+def test_a_holder_that_is_not_heard_gives_up_though_it_hears(tmp_path: Path) -> None:
+    played = Played(tmp_path, scenario([split([], holder="purge", one_way=True)]))
+    played.kept()
+    assert played.holders("purge", AT)[0] != played.holders("purge", -AT)[0]
+    assert played.steps("purge", AT + 5.0) >= 2
+
+
+@pytest.mark.parametrize("memory", [True, False], ids=["with disks", "without"])
+def test_all_restarted_at_once_go_on(memory: bool, tmp_path: Path) -> None:
+    faults = [{"what": "restart", "at": AT, "router": n, "kill": True} for n in range(ROUTERS)]
+    told = {"voters": list(VOTERS), "each": EACH, "memory": memory}
+    played = Played(tmp_path, scenario(faults, gap=0.0, duties=told))
+    if memory:
+        played.kept()
+    else:
+        # nothing is left that could be remembered: steps begin anew, and the log says so or all are new
+        breaches = played.verdict["breaches"]
+        assert not breaches["two_obeyed"] and not breaches["stale_obeyed"]
+    tokens = [o.token for o in played.took if o.duty == "purge"]
+    assert tokens == sorted(set(tokens)) and played.steps("purge", AT + 4.0) >= 3
+
+
+def test_an_upgrade_of_a_holder_hands_over_and_the_new_process_takes_part(tmp_path: Path) -> None:
+    played = Played(tmp_path, scenario([{"what": "upgrade", "at": AT, "router": 3}]))
+    played.kept()
+    assert played.steps("purge", AT + 5.0) >= 2
+
+
+def test_a_voter_of_another_version_is_not_heard_and_the_others_go_on(tmp_path: Path) -> None:
+    played = Played(tmp_path, scenario([]), way="one_of_another_version")
+    played.kept()
+    assert "of another version" in played.logs["router-1"]
+    assert played.steps("purge", AT) >= 5 and played.steps("tidy", AT) >= 5
+
+
+# the holder says nothing any more, and one that obeys it hears nobody else
+LEFT = [stall("purge", 4.0), split([6])]
+
+
+@pytest.mark.parametrize(
+    ("way", "faults", "rule"),
+    [
+        ("order_without_an_end", LEFT, "two_obeyed"),
+        ("acts_at_once", LEFT, "two_obeyed"),
+        ("settles_with_one", [split([6], holder="purge")], "done_twice"),
+    ],
+    ids=["order without an end", "acts at once", "settles with one"],
+)
+def test_wrong_duties_are_caught(way: str, faults: list[dict[str, Any]], rule: str, tmp_path: Path) -> None:
+    """By orders that are good for longer than a lease."""
+    duties = {"voters": list(VOTERS), "each": [EACH[0] | {"good_for": 1.5, "every": 0.1}]}
+    told = scenario(faults, gap=0.0, peers={}, duties=duties)
+    played = Played(tmp_path, told, way=way)
+    assert played.verdict["breaches"][rule] > 0, Counter(played.verdict["breaches"])
+
+
+def test_staff_see_the_duties_and_move_one(tmp_path: Path) -> None:
+    upgrade = [{"what": "upgrade", "at": 80_000.0, "router": 0}]  # so that routers have an operators' address
+
+    async def fleet() -> None:
+        standing = await stand_up(scenario(upgrade), tmp_path, COMMAND)
+        assert standing.routers is not None
+        each = standing.routers.each
+        until = time.monotonic() + 15.0
+
+        async def ask(*words: str, at: int = 3) -> tuple[int, str]:
+            place = "{}:{}".format(*each[at].ops)  # type: ignore[misc]
+            child = await asyncio.create_subprocess_exec(
+                *(sys.executable, "-m", "myrtlecourse", "duty", *words, "--at", place),
+                cwd=HOUSE,
+                stdout=asyncio.subprocess.PIPE,
+                stderr=asyncio.subprocess.PIPE,
+            )
+            out, _ = await child.communicate()
+            assert child.returncode is not None
+            return child.returncode, out.decode()
+
+        async def holder(at: int) -> dict[str, Any]:
+            _, out = await ask("status", "--json", at=at)
+            (told,) = json.loads(out).values()
+            found: dict[str, Any] = next(d for d in told["duties"] if d["duty"] == "purge")
+            return found
+
+        first = 0
+        while not (await holder(first))["acts"] and time.monotonic() < until:
+            first = 3 if first == 4 else 4
+        other = 7 - first  # of the two that are preferred
+        while not (await holder(6))["obeys"] and time.monotonic() < until:
+            await asyncio.sleep(0.1)
+        assert (await holder(6))["holder"] == f"router-{first}"
+        assert (await ask("move", "purge", "router-6", at=first))[0] == 1  # it may not hold it
+        assert (await ask("move", "purge", f"router-{other}", at=5))[0] == 1  # that router does not hold it
+        assert (await ask("move", "purge", f"router-{other}", at=first))[0] == 0
+        while (await holder(6))["holder"] != f"router-{other}" and time.monotonic() < until:
+            await asyncio.sleep(0.1)
+        assert (await holder(other))["acts"]
+        code, table = await ask("status", at=4)
+        assert code == 0 and "purge" in table
+        assert await each[0].call("PUT", "duties/nothing/move") == 409
+        assert await each[0].call("GET", "duties/purge/move") == 405
+        assert await each[0].call("PUT", "duties/purge/fly") == 404
+        assert not await standing.close()
+
+    asyncio.run(fleet())
--- a/tests/wrong_duties.py
+++ b/tests/wrong_duties.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 import math
+import os
 import sys
 from collections.abc import Callable
+from pathlib import Path
 from typing import Any
 
 from myrtlecourse import __main__
@@ -14,6 +16,7 @@
 from myrtlecourse.duties.member import Member
 from myrtlecourse.election import messages as election
 from myrtlecourse.election.core import Election, Role
+from myrtlecourse.peers import wire
 
 Patch = Callable[[Any, str, Any], None]
 
@@ -156,6 +159,12 @@
     patch(Member, "__init__", sure)
 
 
+def one_of_another_version(patch: Patch) -> None:
+    """One router of the fleet, by its configuration's name: not wrong, but older or newer than the others."""
+    if Path(os.environ.get("RELAY_CONFIG", "")).stem == "router-1":
+        patch(wire, "VERSION", wire.VERSION + 1)
+
+
 EACH = (
     *(wakes_without_a_look, token_is_not_compared, order_without_an_end, counts_from_the_arrival),
     *(does_not_ask, asks_one, acts_at_once, says_that_all_is_clear, settles_with_one),
@@ -165,5 +174,5 @@
 WAYS = {f.__name__: f for f in EACH}
 
 if __name__ == "__main__":
-    WAYS[sys.argv.pop()](setattr)
+    (WAYS | {"one_of_another_version": one_of_another_version})[sys.argv.pop()](setattr)
     sys.exit(__main__.main())
