--- a/myrtlecourse/address/setup.py
+++ b/myrtlecourse/address/setup.py
@@ -35,13 +35,13 @@
 def keys(table: Address) -> tuple[bytes, tuple[bytes, ...]]:
     """The key to seal with, and those that are taken as well. Raises ConfigError."""
     also = (read_key(Path(file), "address.also_key_files") for file in table.also_key_files)
-    return read_key(Path(table.key_file)), tuple(also)
+    return read_key(Path(table.key_file or "")), tuple(also)
 
 
-def link(table: Address) -> Link:
-    """Where the address is announced."""
+def link(table: Address, name: str) -> Link:
+    """Where the address is announced, and as whose."""
     if table.switch is not None:
-        return SwitchLink(address_of(table.switch), table.name, table.link_timeout)
+        return SwitchLink(address_of(table.switch), name, table.link_timeout)
     return CommandLink(table.command, table.link_timeout)
 
 
@@ -69,6 +69,17 @@
     peers = {p.name: address_of(p.at) for p in table.peers}
     key, also = keys(table)
     try:
-        return Keeper(table.election(), peers, key, link(table), votes, saved, able, held, emptied, also)
+        return Keeper(
+            table.election(),
+            peers,
+            key,
+            link(table, table.name or ""),
+            votes,
+            saved,
+            able,
+            held,
+            emptied,
+            also,
+        )
     except ValueError as e:
         raise ConfigError(f"address.key_file: {e}") from e
--- a/myrtlecourse/cli.py
+++ b/myrtlecourse/cli.py
@@ -12,6 +12,7 @@
     from myrtlecourse.fleet.commands import audit, fleet
     from myrtlecourse.load.commands import load
     from myrtlecourse.sim.commands import search, sim
+    from myrtlecourse.sim.duty_commands import search_duties
     from myrtlecourse.zones.commands import fleet_status
 except ImportError as e:  # the plain router installs none of the tools' libraries
     raise SystemExit(
@@ -35,5 +36,6 @@
 main.add_command(fleet_status)
 main.add_command(sim)
 main.add_command(search)
+main.add_command(search_duties)
 main.add_command(experiment)
 main.add_command(expect)
--- a/myrtlecourse/duties/core.py
+++ b/myrtlecourse/duties/core.py
@@ -57,6 +57,7 @@
         self.own: deque[Item] = deque()  # said to this very process
         self.dirty = False
         self.beating = False
+        self.ordering = False
         first_stamp = self.chance.getrandbits(48) + 1
         for duty in settings.duties:
             memory = (saved or {}).get(duty.name)
@@ -91,7 +92,8 @@
         """Take one event and answer with actions, to be carried out in order. Raises DutiesError."""
         self.now = max(now, self.now)
         self._check(event)
-        self.acts, self.words, self.dirty, self.beating = [], defaultdict(list), False, False
+        self.acts, self.words = [], defaultdict(list)
+        self.dirty = self.beating = self.ordering = False
         if not isinstance(event, said.Changed):
             # what is over is over first: a process that was stopped wakes with what came for a holder
             for name in self.elections:
@@ -193,6 +195,14 @@
             if not self.own:
                 for name in list(self.leads):
                     self._lead(name, self.leads[name])
+        if self.ordering:
+            for name, lead in list(self.leads.items()):
+                if name not in self.ends:
+                    lead.join(self.now)
+                    self._lead(name, lead)
+        while self.own:
+            number, message = self.own.popleft()
+            self._hear(self.names[number], self.settings.name, message)
         if self.beating:
             for name, held in self.elections.items():
                 self._carry(name, held.join(self.now))
@@ -220,6 +230,7 @@
             lead.begin(self.now)
             self.acts.append(said.Took(name, lead.token, lead.value))
         for member, message in lead.due(self.now):
+            self.ordering = self.ordering or lead.acting
             self._say(name, member, message)
 
     def _on_able(self, event: said.Able) -> None:
--- a/myrtlecourse/duties/keeper.py
+++ b/myrtlecourse/duties/keeper.py
@@ -69,6 +69,7 @@
         now, floor = time.monotonic(), started(time.time())
         self.duties = Duties(settings, saved, now, chance.getrandbits(32), floor)
         self.works: dict[str, Work] = {}
+        self.abilities: dict[str, Callable[[], bool]] = {}  # of duties that ask for more
         self.transport: asyncio.DatagramTransport | None = None
         self.loop: asyncio.AbstractEventLoop
         self.wake: asyncio.TimerHandle | None = None
@@ -111,6 +112,8 @@
             stood = now - self.looked_at > self.settings.unwell + LOOK
             self.looked_at = now
             self.post(said.Able(self.able() and not stood and not self.closing))
+            for duty, able in self.abilities.items():
+                self.post(said.Able(able(), duty))
             for work in self.works.values():
                 work.look()
             await asyncio.sleep(LOOK)
--- a/myrtlecourse/duties/lead.py
+++ b/myrtlecourse/duties/lead.py
@@ -14,6 +14,7 @@
 from myrtlecourse.duties import messages as said
 from myrtlecourse.duties.messages import Duty, Message, Settings, Value
 
+JOIN = 0.6  # of the time between two orders: with less left until the next it is brought forward
 ROUNDS = 4  # orders in the time that one is good for: one may be lost, and its answer
 
 
@@ -56,6 +57,11 @@
             elif member not in self.known:
                 yield member, said.Survey(self.token)
 
+    def join(self, now: float) -> None:
+        """Order a little early, as another duty's holder does so just now: one datagram bears both."""
+        if self.acting and self.say_at - now < JOIN * self.duty.good_for / ROUNDS:
+            self.say_at = min(now, self.say_at)
+
     def _order(self, now: float, member: str) -> said.Order:
         echo = self.stamps.get(member, 0)
         good_for = 0 if self.leaving else int(self.duty.good_for * 1000)
--- a/myrtlecourse/duties/messages.py
+++ b/myrtlecourse/duties/messages.py
@@ -12,6 +12,7 @@
 from myrtlecourse.election import messages as said
 from myrtlecourse.peers.seal import ident
 
+ADDRESS = "address"  # the service address, where it is a duty
 MOST_MEMBERS = 255
 MOST_DUTIES = 16
 MOST_VALUES = 8  # numbers of a duty's state
--- a/myrtlecourse/duties/setup.py
+++ b/myrtlecourse/duties/setup.py
@@ -14,6 +14,7 @@
 from myrtlecourse.net.pool import address_of
 
 if TYPE_CHECKING:
+    from myrtlecourse.duties.messages import Settings
     from myrtlecourse.operators import Duties
 
 
@@ -28,8 +29,8 @@
     return read_key(Path(table.key_file), "duties.key_file"), tuple(also)
 
 
-def keeper(table: Duties, able: Callable[[], bool]) -> Keeper:
-    """The keeper of a router.
+def keeper(table: Duties, settings: Settings, able: Callable[[], bool]) -> Keeper:
+    """The keeper of a router; the settings are the table's, with what else is a duty.
 
     Raises:
         ConfigError: a file that is named can't be used.
@@ -41,7 +42,7 @@
         # guards what was promised: staff must say that it may be begun with anew
         raise ConfigError(f"duties.memory_file: {e}; remove it to begin anew") from e
     try:
-        made = Keeper(table.settings(), peers(table), keys(table), memory, saved, able)
+        made = Keeper(settings, peers(table), keys(table), memory, saved, able)
     except ValueError as e:
         raise ConfigError(str(e) if isinstance(e, ConfigError) else f"duties.key_file: {e}") from e
     for each in table.duty:
--- a/myrtlecourse/operators.py
+++ b/myrtlecourse/operators.py
@@ -13,7 +13,7 @@
 from msgspec import Meta, Struct
 
 from myrtlecourse.config import ConfigError
-from myrtlecourse.duties import messages as duties
+from myrtlecourse.duties import messages as said
 from myrtlecourse.election.messages import ElectionError, Settings
 
 Seconds = Annotated[float, Meta(gt=0.0, le=3600.0)]
@@ -32,9 +32,11 @@
 class Address(Struct, forbid_unknown_fields=True, frozen=True):
     """This instance's part of the service address."""
 
-    name: Name
-    peers: Annotated[tuple[Peer, ...], Meta(min_length=1, max_length=15)]  # itself too; most preferred first
-    key_file: str
+    # with an election of its own; without them it is a duty of `[duties]`, the first
+    name: Name | None = None
+    peers: Annotated[tuple[Peer, ...], Meta(max_length=15)] = ()  # itself too; most preferred first
+    key_file: str | None = None
+    preferred: Annotated[tuple[Name, ...], Meta(max_length=255)] = ()  # who may hold it, as a duty; none: all
     # taken as well, and never sealed with: so that a new key can go from voter to voter
     also_key_files: Annotated[tuple[str, ...], Meta(max_length=2)] = ()
     votes_file: str | None = None  # none: an instance waits out a lease after each start, and forgets
@@ -55,6 +57,12 @@
     def __post_init__(self) -> None:
         if bool(self.command) == (self.switch is not None):
             raise ValueError("wants `command` or `switch`, one of them")
+        if not self.peers:
+            if self.name is not None or self.key_file is not None or self.votes_file is not None:
+                raise ValueError("name, key_file and votes_file go with `peers`")
+            return
+        if self.name is None or self.key_file is None or self.preferred:
+            raise ValueError("wants `name` and `key_file` with `peers`, and their order is the preference")
         if any(not 0 < int(p.at.rpartition(":")[2]) < 65536 for p in self.peers):
             raise ValueError("peers: a port lies between 1 and 65535")
         if len({p.at for p in self.peers}) < len(self.peers):
@@ -68,7 +76,7 @@
         """The settings of its election. Raises ElectionError."""
         voters = tuple(p.name for p in self.peers)
         return Settings(
-            self.name,
+            self.name or "",
             voters,
             self.heartbeat,
             self.lease,
@@ -147,7 +155,7 @@
     name: Name
     peers: Annotated[tuple[Peer, ...], Meta(min_length=1, max_length=255)]  # itself too
     voters: Annotated[tuple[Name, ...], Meta(min_length=1, max_length=7)]
-    duty: Annotated[tuple[Duty, ...], Meta(min_length=1, max_length=16)]
+    duty: Annotated[tuple[Duty, ...], Meta(max_length=15)] = ()
     listen: Endpoint | None = None  # where not at its own address among the peers
     also_key_files: Annotated[tuple[str, ...], Meta(max_length=2)] = ()
     memory_file: str | None = None  # none: a process that starts anew remembers nothing
@@ -164,16 +172,15 @@
             raise ValueError("peers: two of them share an address")
         if any(not 0 < int(p.at.rpartition(":")[2]) < 65536 for p in self.peers):
             raise ValueError("peers: a port lies between 1 and 65535")
-        self.settings()
 
-    def settings(self) -> duties.Settings:
-        """The settings of its duties. Raises DutiesError."""
-        each = tuple(
-            duties.Duty(d.name, d.preferred, d.good_for, (0, 0, 0) if d.every else (), d.every is not None)
+    def settings(self, first: tuple[said.Duty, ...]) -> said.Settings:
+        """The settings of its duties, with others that come first. Raises DutiesError."""
+        each = first + tuple(
+            said.Duty(d.name, d.preferred, d.good_for, (0, 0, 0) if d.every else (), d.every is not None)
             for d in self.duty
         )
         members = tuple(p.name for p in self.peers)
-        return duties.Settings(
+        return said.Settings(
             *(self.name, members, self.voters, each, self.heartbeat, self.lease, self.drift),
             *(self.settle, self.unwell, self.unheard, self.brake),
         )
@@ -186,6 +193,21 @@
     fleet: Fleet | None = None
     duties: Duties | None = None
 
+    def __post_init__(self) -> None:
+        if self.address is not None and not self.address.peers and self.duties is None:
+            raise ValueError("address: wants `peers`, or `[duties]` to be one of")
+        if self.duties is not None:
+            self.of_duties()
+
+    def of_duties(self) -> said.Settings:
+        """The settings of all duties; where it has no election of its own, the address is the first. Raises
+        DutiesError."""
+        first: tuple[said.Duty, ...] = ()
+        if self.address is not None and not self.address.peers:
+            first = (said.Duty(said.ADDRESS, self.address.preferred, orders=False, good_for=3600.0),)
+        assert self.duties is not None
+        return self.duties.settings(first)
+
 
 def read_operators(path: Path) -> OperatorsFile:
     """Read an operators' file.
--- a/myrtlecourse/service.py
+++ b/myrtlecourse/service.py
@@ -34,6 +34,7 @@
 from myrtlecourse.overload.core import CoreControl
 
 if TYPE_CHECKING:
+    from myrtlecourse.address.duty import AddressWork
     from myrtlecourse.address.keeper import Keeper
     from myrtlecourse.duties.keeper import Keeper as DutyKeeper
     from myrtlecourse.operators import Address, Duties, Fleet, OperatorsFile
@@ -92,6 +93,7 @@
         self.operators = Path(operators) if operators else None  # their file
         self.keeper: Keeper | None = None  # of the service address, where it may move
         self.speaker: Speaker | None = None  # to other routers, where they talk
+        self.address_work: AddressWork | None = None  # where the address is one of the duties
         self.duties: DutyKeeper | None = None  # that one router holds at a time
 
     def _subscribe(self) -> None:
@@ -195,6 +197,12 @@
         return Answer(HTTPStatus.OK, call.kind.value)
 
     def _of_address(self, call: Call) -> Answer:
+        if self.address_work is not None and self.duties is not None:
+            if call.kind is Kind.ADDRESS:
+                return Answer(HTTPStatus.OK, orjson.dumps(self.address_work.status()).decode())
+            if why := self.duties.move("address", call.server):
+                return Answer(HTTPStatus.CONFLICT, why)
+            return Answer(HTTPStatus.OK, "moving")
         if self.keeper is None:
             return Answer(HTTPStatus.NOT_FOUND, "this router's address does not move")
         if call.kind is Kind.ADDRESS:
@@ -208,10 +216,10 @@
         told = self._read_operators(path)
         if told.fleet is not None:
             await self._join_fleet(told.fleet, path)
-        if told.address is not None:
+        if told.address is not None and told.address.peers:
             await self._keep_address(told.address, path)
         if told.duties is not None:
-            await self._keep_duties(told.duties, path)
+            await self._keep_duties(told, told.duties, path)
 
     @staticmethod
     def _read_operators(path: Path) -> OperatorsFile:
@@ -248,16 +256,16 @@
             return Answer(HTTPStatus.NOT_FOUND, str(e))
         return Answer(HTTPStatus.OK, f"{call.server} is ordered {call.kind.value} for {call.seconds:g} s")
 
+    def _serves(self, table: Address) -> bool:
+        """An emptied or overloaded router gives the address up, and one that knows too little."""
+        fresh = time.monotonic() - self.discovery.heard_at < table.list_age
+        return fresh and self.door.share >= table.least_share and self.host.may_serve()
+
     async def _keep_address(self, table: Address, path: Path) -> None:
         """Take part in the election of who holds the service address."""
         from myrtlecourse.address.setup import keeper  # noqa: PLC0415  (an extra)
 
-        def able() -> bool:
-            """An emptied or overloaded router gives the address up, and one that knows too little."""
-            fresh = time.monotonic() - self.discovery.heard_at < table.list_age
-            return fresh and self.door.share >= table.least_share and self.host.may_serve()
-
-        self.keeper = keeper(table, able, self._held, self.listener.emptied)
+        self.keeper = keeper(table, lambda: self._serves(table), self._held, self.listener.emptied)
         self.listener.holds = self.keeper.holds
         self._held(False)
         own = next(p.at for p in table.peers if p.name == table.name)
@@ -266,7 +274,20 @@
         except OSError as e:
             raise ConfigError(f"{path}: address.peers: {own}: {e}") from e
 
-    async def _keep_duties(self, table: Duties, path: Path) -> None:
+    def _address_as_duty(self, table: Address, keeper: DutyKeeper) -> None:
+        """Hold the service address as the first of the duties."""
+        from myrtlecourse.address.duty import AddressWork  # noqa: PLC0415  (an extra)
+        from myrtlecourse.address.setup import link  # noqa: PLC0415
+        from myrtlecourse.duties.messages import ADDRESS  # noqa: PLC0415
+
+        made = link(table, keeper.settings.name)
+        self.address_work = AddressWork(keeper, made, self._held, self.listener.emptied)
+        keeper.works[ADDRESS] = self.address_work
+        keeper.abilities[ADDRESS] = lambda: self._serves(table)
+        self.listener.holds = self.address_work.holds
+        self._held(False)
+
+    async def _keep_duties(self, told: OperatorsFile, table: Duties, path: Path) -> None:
         """Take part in the duties of the fleet."""
         from myrtlecourse.duties.setup import keeper, peers  # noqa: PLC0415  (an extra)
 
@@ -274,7 +295,9 @@
             """An emptied router holds nothing, and one whose core is full."""
             return self.host.in_service and self.door.share >= LEAST_SHARE
 
-        self.duties = keeper(table, able)
+        self.duties = keeper(table, told.of_duties(), able)
+        if told.address is not None and not told.address.peers:
+            self._address_as_duty(told.address, self.duties)
         own = address_of(table.listen) if table.listen is not None else peers(table)[table.name]
         try:
             await self.duties.start(own, shared=self.inherited is not None)
@@ -376,7 +399,7 @@
             if self.speaker is not None:
                 self._reload_fleet(self.speaker, told.fleet)
             if self.duties is not None:
-                self._reload_duties(self.duties, told.duties)
+                self._reload_duties(self.duties, told)
         except ValueError as e:
             logging.error("operators' file not taken, the old one stays: %s", e)
 
@@ -385,7 +408,7 @@
         """Voters that have come or gone, times, keys and the link. Raises ValueError."""
         from myrtlecourse.address.setup import keys, link  # noqa: PLC0415  (an extra)
 
-        if table is None:
+        if table is None or not table.peers:
             raise ConfigError("the table `address` was there at the start and is missing")
         taken = keys(table)
         settings = table.election()
@@ -393,17 +416,17 @@
             keeper.change(settings, {p.name: address_of(p.at) for p in table.peers})
             logging.info("voters for the service address: %s", ", ".join(settings.voters))
         keeper.wire.seal.change(*taken)
-        keeper.words.link = link(table)
+        keeper.words.link = link(table, table.name or "")
         logging.info("the address's keys and link are those of the file")
 
     @staticmethod
-    def _reload_duties(keeper: DutyKeeper, table: Duties | None) -> None:
+    def _reload_duties(keeper: DutyKeeper, told: OperatorsFile) -> None:
         """Members, voters, times and keys; the duties themselves need a restart. Raises ValueError."""
         from myrtlecourse.duties.setup import keys, peers  # noqa: PLC0415  (an extra)
 
-        if table is None:
+        if (table := told.duties) is None:
             raise ConfigError("the table `duties` was there at the start and is missing")
-        keeper.change(table.settings(), peers(table), keys(table))
+        keeper.change(told.of_duties(), peers(table), keys(table))
         logging.info("duties: %d routers, voters %s", len(table.peers), ", ".join(table.voters))
 
     def _reload_fleet(self, speaker: Speaker, table: Fleet | None) -> None:
--- a/myrtlecourse/sim/duties.py
+++ b/myrtlecourse/sim/duties.py
@@ -167,6 +167,8 @@
         self.figures = figures
         self.network = Network()
         self.datagrams = 0
+        self.events = 0
+        self.looks_every = 1  # events between two looks at all: in a large world each would cost too much
         self.items = 0
         self.highest = {d.name: 0 for d in duties}  # token obeyed
         self.done: dict[tuple[str, int], int] = {}  # by duty and step: the token
@@ -239,6 +241,9 @@
 
     def check(self) -> None:
         """Raises Broken. Leases and orders only end as time goes: a look after each event is enough."""
+        self.events += 1
+        if self.events % self.looks_every:
+            return
         for duty in self.duties:
             acting, tokens = [], set()
             for process in self.processes.values():
--- /dev/null
+++ b/myrtlecourse/sim/duty_commands.py
@@ -0,0 +1,109 @@
+"""`myrtlecourse search-duties`: elections and duties under random schedules, or all of a small world."""
+
+from __future__ import annotations
+
+import sys
+import time
+from dataclasses import asdict
+from pathlib import Path
+from typing import Any
+
+import click
+
+from myrtlecourse.duties.messages import Duty, Settings
+from myrtlecourse.load.commands import write_json
+from myrtlecourse.sim import election
+from myrtlecourse.sim.duties import Broken, World, schedule, well_again
+from myrtlecourse.sim.exhaust import explore
+
+BROKEN = 1  # exit code with a find
+NAMES = ("a", "b", "c", "d", "e")
+VOTERS = NAMES[:3]
+EACH = (Duty("x"), Duty("y", ("d", "a")), Duty("z", orders=False))
+TROUBLED = 30.0  # seconds of a random schedule, on its own clock
+
+
+def small() -> Settings:
+    """Three processes that vote and two duties, whose holders are two of them."""
+    each = (Duty("x", ("a", "b"), good_for=1.0), Duty("y", ("b", "a"), good_for=1.0))
+    times = {"heartbeat": 0.5, "lease": 1.6, "settle": 0.0, "unheard": 2.0, "brake": 2.0}
+    return Settings("a", VOTERS, VOTERS, each, **times)
+
+
+def random_duties(seed: int, disks: bool) -> str:
+    """One schedule of troubles; answers with what broke, or nothing."""
+    there = World(NAMES, seed, EACH, VOTERS, disks=disks)
+    try:
+        schedule(there, TROUBLED)
+        well_again(there)
+        told = there.settings("a")
+        bound = 3 * told.lease + told.settle + max(told.longest_vacancy(d) for d in EACH)
+        if there.settle(bound) is None:
+            return f"a duty without a holder {bound:.1f} s after the last trouble"
+    except Broken as e:
+        return str(e)
+    return ""
+
+
+def random_election(seed: int, disks: bool) -> str:
+    """The same of the service address."""
+    there = election.Elections(VOTERS if seed % 2 else NAMES, seed, disks=disks)
+    try:
+        election.schedule(there, TROUBLED)
+    except AssertionError as e:
+        return str(e)
+    return ""
+
+
+@click.command("search-duties")
+@click.option("--seconds", type=click.FloatRange(0.0), default=60.0, show_default=True, help="to search for")
+@click.option("--seed", type=click.IntRange(0), default=1, show_default=True, help="of the first schedule")
+@click.option("--elections", is_flag=True, help="of the service address in place of duties")
+@click.option(
+    "--all", "troubles", type=click.IntRange(1, 4), help="all schedules of a small world, with so many"
+)
+@click.option(
+    "--first", type=click.IntRange(1), default=60, show_default=True, help="steps before which they begin"
+)
+@click.option("--disks/--no-disks", default=True, help="whether processes remember over a restart")
+@click.option("--json", "json_file", type=click.Path(path_type=Path), help="write what was found there")
+def search_duties(
+    seconds: float,
+    seed: int,
+    elections: bool,
+    troubles: int | None,
+    first: int,
+    disks: bool,
+    json_file: Path | None,
+) -> None:
+    """Look for a schedule in which two are obeyed, something is done twice or forgotten, or nobody holds.
+
+    \b
+    myrtlecourse search-duties --seconds 600
+    myrtlecourse search-duties --elections --no-disks
+    myrtlecourse search-duties --all 2 --first 24
+
+    Exit code 0 when nothing was found, 1 with a find, which its seed or its steps play again.
+    """
+    told: dict[str, Any]
+    if troubles is not None:
+        found = explore(small(), disks=disks, deviations=troubles, first=first)
+        told = asdict(found)
+        click.echo(f"{found.states:,} states, {found.schedules:,} schedules; " + (found.broken or "no find"))
+        for step in found.path:
+            click.echo(f"  before step {step[0]}: {' '.join(map(str, step[1:]))}")
+        broken = bool(found.broken)
+    else:
+        until, played, why = time.monotonic() + seconds, 0, ""
+        look = random_election if elections else random_duties
+        while time.monotonic() < until and not why:
+            why = look(seed + played, disks)
+            played += 1
+        told = {"schedules": played, "broken": why, "seed": seed + played - 1 if why else None}
+        click.echo(
+            f"{played:,} schedules; " + (f"{why}, by --seed {seed + played - 1}" if why else "no find")
+        )
+        broken = bool(why)
+    if json_file is not None:
+        write_json(json_file, told)
+    sys.exit(BROKEN if broken else 0)
--- a/tests/test_address.py
+++ b/tests/test_address.py
@@ -321,7 +321,8 @@
 class Places:
     """Three real routers behind a switch, each before the caches of one site."""
 
-    def __init__(self, folder: Path, here: Site, switch: Switch) -> None:
+    def __init__(self, folder: Path, here: Site, switch: Switch, duty: bool) -> None:
+        self.duty = duty  # the address is one of the duties
         self.folder = folder
         self.here = here
         self.switch = switch
@@ -338,6 +339,14 @@
         ]
         lines = ", ".join(f'{{name = "{p["name"]}", at = "{p["at"]}"}}' for p in peers)
         file = self.folder / f"{name}.toml"
+        if self.duty:
+            file.write_text(
+                f'[address]\nswitch = "{spelled(self.switch.told_at)}"\n[duties]\nname = "{name}"\n'
+                f"peers = [{lines}]\nvoters = {orjson.dumps(voters).decode()}\nunheard = 1.5\n"
+                f'key_file = "{self.folder / key}"\nmemory_file = "{self.folder / name}.memory"\n'
+                f"heartbeat = 0.1\nlease = 0.5\nsettle = 0.2\nunwell = 0.3\n{more}"
+            )
+            return file
         file.write_text(
             f'[address]\nname = "{name}"\npeers = [{lines}]\nkey_file = "{self.folder / key}"\n'
             f'votes_file = "{self.folder / name}.votes"\n'
@@ -370,12 +379,12 @@
 
 
 @asynccontextmanager
-async def places(folder: Path) -> AsyncIterator[Places]:
+async def places(folder: Path, duty: bool = False) -> AsyncIterator[Places]:
     async with site(folder) as here:
         switch = Switch({name: free(socket.SOCK_STREAM) for name in THREE})
         await switch.start()
         await switch.relays.join({name: free(socket.SOCK_DGRAM) for name in THREE})
-        made = Places(folder, here, switch)
+        made = Places(folder, here, switch, duty)
         try:
             for name in THREE:
                 await made.start(name)
@@ -391,10 +400,13 @@
     return table
 
 
+@pytest.mark.parametrize("duty", [False, True], ids=["by itself", "as a duty"])
 @pytest.mark.parametrize("how", ["killed", "stopped"])
-def test_the_address_moves_when_its_holder_dies_and_is_not_snatched_back(how: str, tmp_path: Path) -> None:
+def test_the_address_moves_when_its_holder_dies_and_is_not_snatched_back(
+    how: str, duty: bool, tmp_path: Path
+) -> None:
     async def scenario() -> None:
-        async with places(tmp_path) as there:
+        async with places(tmp_path, duty) as there:
             first = await there.holder()
             client = await there.client()
             assert await ping(client) and await ask(client, "r1", "k") == b"value"
@@ -422,9 +434,10 @@
     run(scenario)
 
 
-def test_a_move_and_a_drain_hand_the_address_over(tmp_path: Path) -> None:
+@pytest.mark.parametrize("duty", [False, True], ids=["by itself", "as a duty"])
+def test_a_move_and_a_drain_hand_the_address_over(duty: bool, tmp_path: Path) -> None:
     async def scenario() -> None:
-        async with places(tmp_path) as there:
+        async with places(tmp_path, duty) as there:
             first = await there.holder()
             to = next(n for n in THREE if n != first)
             busy = await there.client()
