--- a/tests/test_duty_faults.py
+++ b/tests/test_duty_faults.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import shlex
+import signal
 import sys
 import time
 from collections import Counter
@@ -15,7 +16,7 @@
 import pytest
 
 from myrtlecourse.audit import observations as seen
-from myrtlecourse.fleet.routers import COMMAND
+from myrtlecourse.fleet.routers import COMMAND, Router
 from myrtlecourse.fleet.scenario import Scenario
 from myrtlecourse.fleet.session import Outcome, play, stand_up
 from myrtlecourse.load.profile import Profile
@@ -185,6 +186,22 @@
     assert played.verdict["breaches"][rule] > 0, Counter(played.verdict["breaches"])
 
 
+async def reloaded(each: list[Router]) -> None:
+    """Times are taken at SIGHUP; another set of duties is not, and changes nothing."""
+    for old, new, answer in (
+        ("brake = 2.0", "brake = 3.0", "duties: 7 routers"),
+        ('name = "tidy"', 'name = "untidy"', "file not taken"),
+    ):
+        for router in each:
+            assert router.operators is not None and router.process is not None
+            text = router.operators.read_text()
+            assert old in text
+            router.operators.write_text(text.replace(old, new))
+            router.process.send_signal(signal.SIGHUP)
+        while not all(answer in router.log.read_text() for router in each):
+            await asyncio.sleep(0.05)
+
+
 def test_staff_see_the_duties_and_move_one(tmp_path: Path) -> None:
     upgrade = [{"what": "upgrade", "at": 80_000.0, "router": 0}]  # so that routers have an operators' address
 
@@ -227,6 +244,7 @@
         assert (await holder(other))["acts"]
         code, table = await ask("status", at=4)
         assert code == 0 and "purge" in table
+        await reloaded(each)
         assert await each[0].call("PUT", "duties/nothing/move") == 409
         assert await each[0].call("GET", "duties/purge/move") == 405
         assert await each[0].call("PUT", "duties/purge/fly") == 404
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -745,10 +745,13 @@
         config(True, peer_listen="127.0.0.1:7", peers=["here"])
 
 
+GONE = ("peers", "zones", "operators", "address", "duties", "election", "checked")
+
+
 def test_without_the_file_nothing_of_it_is_loaded() -> None:
     code = (
         "import sys, myrtlecourse.__main__; print([m for m in sys.modules if m.startswith('myrtlecourse')])"
     )
     loaded = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout
     assert "policy.router" in loaded
-    assert not any(f"myrtlecourse.{part}" in loaded for part in ("peers", "zones", "operators", "address"))
+    assert not any(f"myrtlecourse.{part}" in loaded for part in GONE)
