--- a/deploy/build.py
+++ b/deploy/build.py
@@ -47,6 +47,7 @@
     "address/setup.py",
     "address/votes.py",
     "address/codec.py",
+    "peers/end.py",
     "peers/gossip.py",
     "peers/records.py",
     "peers/seal.py",
--- a/myrtlecourse/address/keeper.py
+++ b/myrtlecourse/address/keeper.py
@@ -17,17 +17,16 @@
 from myrtlecourse.election import messages as said
 from myrtlecourse.election.core import Election, Role
 from myrtlecourse.net.logs import BoundedLog
-from myrtlecourse.peers.seal import Dropped
-from myrtlecourse.peers.wire import Sign, Wire
+from myrtlecourse.peers.end import End, Endpoint
+from myrtlecourse.peers.wire import Wire
 
 EMPTY_TIME = 1.0  # seconds for what was taken to end, of the lease that still stands
 LOOK = 0.1  # seconds between looks at whether this instance can serve
 log = logging.getLogger(__name__)
 bounded = BoundedLog(log)
-Endpoint = tuple[str, int]
 
 
-class Keeper(asyncio.DatagramProtocol):
+class Keeper(End[said.Message]):
     """One instance."""
 
     def __init__(
@@ -49,8 +48,9 @@
         was taken has ended.
         """
         chance = random.SystemRandom()
+        start = chance.getrandbits(62) + 1
+        super().__init__(Wire(settings.name, settings.voters, key, start, ElectionCodec(), also), peers)
         self.settings = settings
-        self.peers = peers
         self.votes = votes
         self.unwritten: said.Saved | None = None  # of what must last
         self.able = able
@@ -58,26 +58,17 @@
         self.emptied = emptied
         self.leaving: asyncio.Task[None] | None = None
         self.words = Words(link)
-        start = chance.getrandbits(62) + 1
-        self.wire = Wire(settings.name, settings.voters, key, start, ElectionCodec(), also)
         self.election = Election(settings, saved, time.monotonic(), chance.getrandbits(32))
-        self.loop: asyncio.AbstractEventLoop
-        self.transport: asyncio.DatagramTransport | None = None
-        self.wake: asyncio.TimerHandle | None = None
         self.looking: asyncio.Task[None] | None = None
         self.looked_at = time.monotonic()
-        self.sent = 0
         self.moves: list[str] = []  # the last few, for staff
 
     async def start(self, bind: Endpoint) -> Endpoint:
         """Listen for the others. Raises OSError."""
-        self.loop = asyncio.get_running_loop()
-        transport, _ = await self.loop.create_datagram_endpoint(lambda: self, local_addr=bind)
-        self.transport = transport
+        at = await self.listen(bind)
         self.looked_at = time.monotonic()
         self.looking = asyncio.create_task(self._look())
-        host, port = transport.get_extra_info("sockname")[:2]
-        return host, port
+        return at
 
     def holds(self) -> bool:
         """Whether the address is here at this very moment."""
@@ -92,6 +83,9 @@
             self.post(said.Able(self.able() and not stood))
             await asyncio.sleep(LOOK)
 
+    def heard(self, sender: str, message: said.Message) -> None:
+        self.post(said.Heard(sender, message))
+
     def post(self, event: said.Event) -> None:
         """Let the election hear of something, and carry out what it answers."""
         for action in self.election.handle(time.monotonic(), event):
@@ -103,7 +97,7 @@
                 self.unwritten = saved if self.votes is not None else None
             case said.Tell(to, message):
                 if self._written():
-                    self._send(to, self.wire.pack(to, message))
+                    self.send(to, self.wire.pack(to, message))
             case said.Announce(term):
                 self._note(f"holds the address in term {term}")
                 self.held(True)
@@ -113,10 +107,7 @@
                 self.held(False)
                 self.leaving = self.loop.create_task(self._leave())
             case said.Wake(at):
-                if self.wake is not None:
-                    self.wake.cancel()
-                if at < float("inf"):
-                    self.wake = self.loop.call_later(max(0.0, at - time.monotonic()), self.post, said.Woke())
+                self.call_at(at, lambda: self.post(said.Woke()))
 
     def _written(self) -> bool:
         """Whether all that must last is on the disk; until it is, not a word may go out."""
@@ -144,25 +135,6 @@
         log.info("%s %s", self.settings.name, text)
         self.moves = [*self.moves[-19:], f"{time.strftime('%Y-%m-%d %H:%M:%S')} {text}"]
 
-    def _send(self, to: str, data: bytes) -> None:
-        if self.transport is not None and to in self.peers:
-            self.sent += 1
-            self.transport.sendto(data, self.peers[to])
-
-    def datagram_received(self, data: bytes, addr: Any) -> None:
-        try:
-            sender, message = self.wire.open(data)
-        except Dropped as e:
-            bounded.log(logging.WARNING, "a datagram of %s:%s was dropped: %s", addr[0], addr[1], e)
-            return
-        if message is Sign.STALE:
-            self._send(sender, self.wire.hello(sender))
-        elif not isinstance(message, Sign):
-            self.post(said.Heard(sender, message))
-
-    def error_received(self, exc: Exception) -> None:
-        bounded.log(logging.INFO, "a voter was not reached: %s", exc)
-
     def change(self, settings: said.Settings, peers: dict[str, Endpoint]) -> None:
         """Take new settings; one voter may have come or gone.
 
@@ -213,8 +185,5 @@
         if self.leaving is not None:
             await self.leaving  # the release goes out, and the address is withdrawn
             await asyncio.sleep(0)
-        if self.wake is not None:
-            self.wake.cancel()
         self.words.close()
-        if self.transport is not None:
-            self.transport.close()
+        self.leave()
--- a/myrtlecourse/duties/keeper.py
+++ b/myrtlecourse/duties/keeper.py
@@ -16,9 +16,9 @@
 from myrtlecourse.duties.memory import write_memories
 from myrtlecourse.election import messages as election
 from myrtlecourse.net.logs import BoundedLog
+from myrtlecourse.peers.end import End, Endpoint
 from myrtlecourse.peers.records import started
-from myrtlecourse.peers.seal import Dropped
-from myrtlecourse.peers.wire import Sign, Wire
+from myrtlecourse.peers.wire import Wire
 
 LOOK = 0.1  # seconds between looks at whether this process can hold a duty, and at what holders have to do
 AGAIN = 0.2  # seconds until listening is tried again, where the process before this one still does
@@ -26,7 +26,6 @@
 PROMISES = (election.Ask, election.Grant, said.Known, said.Taken)
 log = logging.getLogger(__name__)
 bounded = BoundedLog(log)
-Endpoint = tuple[str, int]
 
 
 class Work(Protocol):
@@ -48,7 +47,7 @@
         """End what is under way."""
 
 
-class Keeper(asyncio.DatagramProtocol):
+class Keeper(End[tuple[said.Item, ...]]):
     """One router's end."""
 
     def __init__(
@@ -62,45 +61,38 @@
     ) -> None:
         """`able` says whether this router can hold duties now; `saved` is what was read from `memory`."""
         chance = random.SystemRandom()
+        start = chance.getrandbits(62) + 1
+        super().__init__(Wire(settings.name, settings.members, keys[0], start, DutyCodec(), keys[1]), peers)
         self.settings = settings
-        self.peers = peers
         self.memory = memory
         self.unwritten: dict[str, said.Memory] | None = None  # what must last
         self.stamped: dict[str, float] = {}  # when a stamp last went out alone
         self.writing: asyncio.Task[None] | None = None
         self.after: list[said.Say | said.Settled] = []  # what must not be done before it does
         self.able = able
-        start = chance.getrandbits(62) + 1
-        self.wire = Wire(settings.name, settings.members, keys[0], start, DutyCodec(), keys[1])
         now, floor = time.monotonic(), started(time.time())
         self.duties = Duties(settings, saved, now, chance.getrandbits(32), floor)
         self.works: dict[str, Work] = {}
         self.abilities: dict[str, Callable[[], bool]] = {}  # of duties that ask for more
-        self.transport: asyncio.DatagramTransport | None = None
-        self.loop: asyncio.AbstractEventLoop
-        self.wake: asyncio.TimerHandle | None = None
         self.running: list[asyncio.Task[None]] = []
         self.looked_at = now
-        self.sent = self.bytes_sent = 0
         self.moves: list[str] = []  # the last few, for staff
-        self.heard: dict[str, str] = {}  # by duty: whose order was obeyed last, and under which token
+        self.followed: dict[str, str] = {}  # by duty: whose order was obeyed last, and under which token
         self.closing = False
 
     async def start(self, bind: Endpoint, shared: bool) -> None:
         """Listen, and begin; where another process of this router may still listen (`shared`, at an upgrade)
         once that one has let go. Raises OSError."""
-        self.loop = asyncio.get_running_loop()
         if shared:
             self.running.append(asyncio.create_task(self._listen_later(bind)))
         else:
             await self._listen(bind)
 
     async def _listen(self, bind: Endpoint) -> None:
-        self.transport, _ = await self.loop.create_datagram_endpoint(lambda: self, local_addr=bind)
-        log.info("duties: other routers are heard on %s:%d", *self.transport.get_extra_info("sockname")[:2])
+        log.info("duties: other routers are heard on %s:%d", *await self.listen(bind))
         for name in self.settings.members:
             if name != self.settings.name:
-                self._send(name, self.wire.hello(name))
+                self.send(name, self.wire.hello(name))
         self.looked_at = time.monotonic()
         self.running.append(asyncio.create_task(self._look()))
 
@@ -128,6 +120,9 @@
         """The token to act for a duty with at this very moment, or None."""
         return self.duties.may(time.monotonic(), duty)
 
+    def heard(self, sender: str, message: tuple[said.Item, ...]) -> None:
+        self.post(said.Heard(sender, message))
+
     def post(self, event: said.Event) -> None:
         """Let the duties hear of something, and carry out what they answer. Raises DutiesError."""
         for action in self.duties.handle(time.monotonic(), event):
@@ -138,7 +133,7 @@
             case said.Save(memories) if self.memory is not None:
                 self.unwritten = memories
                 if self.writing is None:
-                    self.writing = self.loop.create_task(self._write(self.memory))
+                    self.writing = asyncio.create_task(self._write(self.memory))
             case said.Say(to, items):
                 self._say(to, tuple(i for i in items if not isinstance(i[1], PROMISES)))
                 if promises := tuple(i for i in items if isinstance(i[1], PROMISES)):
@@ -150,13 +145,10 @@
             case said.Obeys():
                 self._obeyed(action)
             case said.Rests(duty, since):
-                self.heard.pop(duty, None)
+                self.followed.pop(duty, None)
                 log.info("duty %s: obeys nobody since %.6f", duty, since)
             case said.Wake(at):
-                if self.wake is not None:
-                    self.wake.cancel()
-                if at < float("inf"):
-                    self.wake = self.loop.call_later(max(0.0, at - time.monotonic()), self.post, said.Woke())
+                self.call_at(at, lambda: self.post(said.Woke()))
 
     def _tell_work(self, action: said.Took | said.Lost | said.Settled) -> None:
         """Let what is done for a duty begin, end or go on."""
@@ -177,8 +169,8 @@
 
     def _obeyed(self, order: said.Obeys) -> None:
         whom = f"{order.holder} under token {order.token}"
-        if self.heard.get(order.duty) != whom:
-            self.heard[order.duty] = whom
+        if self.followed.get(order.duty) != whom:
+            self.followed[order.duty] = whom
             log.info("duty %s: obeys %s from %.6f", order.duty, whom, time.monotonic())
 
     def _once_written(self, action: said.Say | said.Settled) -> None:
@@ -223,32 +215,12 @@
 
     def _say(self, to: str, items: tuple[said.Item, ...]) -> None:
         for part in split(items, self.wire.room):
-            self._send(to, self.wire.pack(to, part))
+            self.send(to, self.wire.pack(to, part))
 
     def _note(self, duty: str, text: str) -> None:
         log.info("duty %s: %s at %.6f", duty, text, time.monotonic())
         self.moves = [*self.moves[-19:], f"{time.strftime('%Y-%m-%d %H:%M:%S')} {duty}: {text}"]
 
-    def _send(self, to: str, data: bytes) -> None:
-        if self.transport is not None and to in self.peers:
-            self.sent += 1
-            self.bytes_sent += len(data)
-            self.transport.sendto(data, self.peers[to])
-
-    def datagram_received(self, data: bytes, addr: Any) -> None:
-        try:
-            sender, message = self.wire.open(data)
-        except Dropped as e:
-            bounded.log(logging.WARNING, "a datagram of %s:%s was dropped: %s", addr[0], addr[1], e)
-            return
-        if message is Sign.STALE:
-            self._send(sender, self.wire.hello(sender))
-        elif not isinstance(message, Sign):
-            self.post(said.Heard(sender, message))
-
-    def error_received(self, exc: Exception) -> None:
-        bounded.log(logging.INFO, "a router was not reached: %s", exc)
-
     def change(
         self, settings: said.Settings, peers: dict[str, Endpoint], keys: tuple[bytes, tuple[bytes, ...]]
     ) -> None:
@@ -299,10 +271,6 @@
         await asyncio.sleep(0)
         for task in self.running:
             task.cancel()
-        if self.wake is not None:
-            self.wake.cancel()
         if self.writing is not None:
             self.writing.cancel()
-        if self.transport is not None:
-            self.transport.close()
-            self.transport = None
+        self.leave()
--- a/myrtlecourse/duties/setup.py
+++ b/myrtlecourse/duties/setup.py
@@ -8,10 +8,11 @@
 
 from myrtlecourse.address.setup import read_key
 from myrtlecourse.config import ConfigError
-from myrtlecourse.duties.keeper import Endpoint, Keeper
+from myrtlecourse.duties.keeper import Keeper
 from myrtlecourse.duties.memory import RememberError, read_memories
 from myrtlecourse.duties.work import Commands, HoldWork, StepWork
 from myrtlecourse.net.pool import address_of
+from myrtlecourse.peers.end import Endpoint
 
 if TYPE_CHECKING:
     from myrtlecourse.duties.messages import Settings
