Move when a fetch may start out of router.py, and question numbers out of election/core.py

Each of the two files had a second job: whether the origin has a place in time is what the walk asks of a server, too; numbers of questions belong to a process and not to one election.

--- a/myrtlecourse/duties/core.py
+++ b/myrtlecourse/duties/core.py
@@ -16,7 +16,8 @@
 from myrtlecourse.duties.member import Member
 from myrtlecourse.duties.messages import Duty, Item, Memory, Message, Obeyed, Settings
 from myrtlecourse.election import messages as election
-from myrtlecourse.election.core import Count, Election, Role
+from myrtlecourse.election.core import Election, Role
+from myrtlecourse.election.count import Count
 
 MOST_BRAKE = 16  # times: a duty that nobody can do is tried by each now and then all the same
 OF_ELECTIONS = (
--- a/myrtlecourse/election/core.py
+++ b/myrtlecourse/election/core.py
@@ -14,6 +14,7 @@
 import random
 from enum import Enum
 
+from myrtlecourse.election.count import Count
 from myrtlecourse.election.invitations import Invitations
 from myrtlecourse.election.messages import (
     Able,
@@ -47,23 +48,6 @@
 JOIN = 0.6  # of a heartbeat: with less left until the next one it is brought forward
 
 
-class Count:
-    """Numbers questions: those of one moment share theirs, so that one answer does for several duties.
-
-    It begins anywhere, so that no answer to a question from before a restart counts now.
-    """
-
-    def __init__(self, chance: random.Random) -> None:
-        self.number = chance.getrandbits(48)
-        self.moment = -math.inf
-
-    def at(self, now: float) -> int:
-        """The number of what is asked now."""
-        if now != self.moment:
-            self.number, self.moment = self.number + 1, now
-        return self.number
-
-
 class Role(Enum):
     """What an instance is."""
 
--- a/myrtlecourse/policy/walk.py
+++ b/myrtlecourse/policy/walk.py
@@ -1,4 +1,5 @@
-"""Which server a request goes to: the bounded walk on the ring, and what keeps a server from taking it."""
+"""Which server a request goes to: the bounded walk on the ring, and what keeps a server, or the origin, from
+taking it."""
 
 from __future__ import annotations
 
@@ -156,3 +157,29 @@
         server = attempt.server
         long = server.cache and self.now - attempt.sent_at >= OVERDUE * self.wait
         return long and server.evidence.quiet_since <= attempt.sent_at
+
+    def _latest_start(self, held: Held, origin: Server | None) -> float:
+        """From then on no fetch would likely be back in time; writes need less room, as they store nothing.
+
+        A place that nobody else wants costs nothing: there a fair chance is enough.
+        """
+        if origin is None:
+            return held.until
+        if self.leaving is not None and self.leaving.order.origin:
+            # it may be back soon, and an answer after that is worth more than a refusal now; but not for long
+            whole = min(held.request.time_left, held.request_class.aim)
+            return held.until - (1 - tuning.LEFT_WAIT) * whole
+        if origin.load < tuning.IDLE * origin.limit:
+            return held.until - origin.evidence.latencies.quantile(tuning.FAIR_CHANCE)
+        return held.until - (1.0 if held.request.write else tuning.FETCH_ROOM) * origin.evidence.usual
+
+    def _has_place(self, origin: Server) -> bool:
+        """Whether a fetch may go: below the limit, or as a trial when all that is out may be lost."""
+        leaving = self.leaving
+        if leaving is not None and leaving.order.origin:
+            return leaving.origin_trial(self.now)  # guards the rest: each would dial in vain
+        if self.now < origin.out_until:
+            return False
+        if origin.load < origin.limit:
+            return True
+        return origin.evidence.trial_due(self.now + tuning.ROUNDING, self._pause_before_trial(origin))
