Make real-time tests steady on a crowded machine, and bound words that wait for a disk

Ruled out: the generator's count, as mean and quantiles agree with when the target did answer. The wrong zones that go by one router's word are caught at little load, where nobody's own answers contradict it; the right form is played beside them and must not move. Tests of six processes and more take turns (`elbow_room`). A duty's keeper holds at most 1,000 words while its disk hangs, and tells what has settled once it is well; its own words are heard before its other leads speak again, once each. What a process in virtual time is stands once (`sim/machine.py`).

--- a/myrtlecourse/duties/core.py
+++ b/myrtlecourse/duties/core.py
@@ -191,25 +191,27 @@
         for name in list(self.leads):
             self._lead(name, self.leads[name])
         while self.own:
-            number, message = self.own.popleft()
-            self._hear(self.names[number], self.settings.name, message)
-            if not self.own:
-                for name in list(self.leads):
-                    self._lead(name, self.leads[name])
+            self._hear_own()
+            for name in list(self.leads):
+                self._lead(name, self.leads[name])
         if self.ordering:
             for name, lead in list(self.leads.items()):
                 if name not in self.ends:
                     lead.join(self.now)
                     self._lead(name, lead)
-        while self.own:
-            number, message = self.own.popleft()
-            self._hear(self.names[number], self.settings.name, message)
+        self._hear_own()
         if self.beating:
             for name, held in self.elections.items():
                 self._carry(name, held.join(self.now))
         for name in self.members:
             self._look_at(name)
 
+    def _hear_own(self) -> None:
+        """What this process says to itself, and answers."""
+        while self.own:
+            number, message = self.own.popleft()
+            self._hear(self.names[number], self.settings.name, message)
+
     def _look_at(self, name: str) -> None:
         """Tell when a member's order has run out, or was dropped for a later holder."""
         member = self.members[name]
--- a/myrtlecourse/duties/keeper.py
+++ b/myrtlecourse/duties/keeper.py
@@ -21,6 +21,7 @@
 from myrtlecourse.peers.wire import Wire
 
 LOOK = 0.1  # seconds between looks at whether this process can hold a duty, and at what holders have to do
+MOST_AFTER = 1000  # words that wait for the disk
 AGAIN = 0.2  # seconds until listening is tried again, where the process before this one still does
 # what rests on votes and orders that were taken; a lease rests on the wait after a start
 PROMISES = (election.Ask, election.Grant, said.Known, said.Taken)
@@ -176,6 +177,8 @@
     def _once_written(self, action: said.Say | said.Settled) -> None:
         """Guards promises: not one goes out before it is on the disk."""
         if self.writing is not None:
+            if len(self.after) >= MOST_AFTER:
+                self._drop_words()
             self.after.append(action)
             if isinstance(action, said.Say):
                 self._give_stamps(action)
@@ -184,6 +187,11 @@
         else:
             self._tell_work(action)
 
+    def _drop_words(self) -> None:
+        """Guards memory against a disk that hangs: a word that is late is of no use, and will be asked for
+        again. What has settled has to be told all the same."""
+        self.after = [action for action in self.after if isinstance(action, said.Settled)]
+
     def _give_stamps(self, say: said.Say) -> None:
         """Guards orders against a slow disk: until an answer may go, its stamp does, else they run out."""
         now = time.monotonic()
@@ -203,7 +211,8 @@
                     await asyncio.to_thread(write_memories, path, memories)
             except OSError as e:
                 bounded.log(logging.ERROR, "the memory can't be written, no promise is given: %s", e)
-                self.unwritten, self.after = self.unwritten or memories, []  # what is late is of no use
+                self.unwritten, self.after = self.unwritten or memories, after + self.after
+                self._drop_words()
                 await asyncio.sleep(AGAIN)
                 continue
             for action in after:
--- a/myrtlecourse/sim/duties.py
+++ b/myrtlecourse/sim/duties.py
@@ -13,8 +13,9 @@
 
 from myrtlecourse.duties import messages as said
 from myrtlecourse.duties.core import Duties
-from myrtlecourse.sim.core import Core, Event
+from myrtlecourse.sim.core import Core
 from myrtlecourse.sim.election import Network, cut_for
+from myrtlecourse.sim.machine import Machine
 
 Make = Callable[[said.Settings, dict[str, said.Memory] | None, float, int, int], Duties]
 PAUSE = 0.3  # seconds between a holder's steps
@@ -39,28 +40,17 @@
     return sure < settings.majority
 
 
-class Process:
+class Process(Machine[said.Event]):
     """One router's part: a process that may die, stand still and start again."""
 
     def __init__(self, world: World, name: str, rate: float, disk: bool) -> None:
+        super().__init__(world.core, world.chance, name, rate)
         self.world = world
-        self.name = name
-        self.rate = rate
-        self.offset = world.chance.uniform(0.0, 1e6)
         self.disk = disk
         self.saved: dict[str, said.Memory] | None = None  # on its disk
-        self.able = True
-        self.stopped = False
-        self.waiting: list[said.Event] = []  # what comes while it stands still
-        self.wake: Event | None = None
         self.duties: Duties | None = None
-        self.boots = 0
         self.claims: dict[str, Claim] = {}
 
-    def clock(self) -> float:
-        """Its own monotonic clock."""
-        return self.offset + self.rate * self.world.core.now
-
     def start(self) -> None:
         """A new process; without a disk it knows nothing."""
         if self.duties is not None:
@@ -79,22 +69,8 @@
     def kill(self) -> None:
         """The process dies; nothing of it is said to anyone."""
         self.duties = None
-        self.stopped = False
-        self.waiting.clear()
         self.claims.clear()
-        if self.wake is not None:
-            self.wake.cancel()
-
-    def stop(self) -> None:
-        """It stands still (SIGSTOP)."""
-        self.stopped = True
-
-    def go_on(self) -> None:
-        """It goes on where it stood, with all that came meanwhile."""
-        self.stopped = False
-        events, self.waiting = self.waiting, []
-        for event in events:
-            self.post(event)
+        self.forget()
 
     def post(self, event: said.Event) -> None:
         """Let its duties hear of something, and carry out what they answer."""
@@ -124,11 +100,7 @@
             case said.Obeys():
                 world.obeys(self, action)
             case said.Wake(at):
-                if self.wake is not None:
-                    self.wake.cancel()
-                if at < float("inf"):
-                    pause = max(0.0, (at - self.clock()) / self.rate)
-                    self.wake = world.core.after(pause, self.post, said.Woke())
+                self.call_at(at, lambda: self.post(said.Woke()))
 
     def claim(self, duty: str, step: int, boot: int) -> None:
         """Claim a step, if the duty is still held."""
--- a/myrtlecourse/sim/election.py
+++ b/myrtlecourse/sim/election.py
@@ -11,7 +11,8 @@
 
 from myrtlecourse.election import messages as said
 from myrtlecourse.election.core import Election
-from myrtlecourse.sim.core import Core, Event
+from myrtlecourse.sim.core import Core
+from myrtlecourse.sim.machine import Machine
 
 Make = Callable[[said.Settings, said.Saved, float, int], Election]
 
@@ -26,27 +27,16 @@
     cut: set[tuple[str, str]] = field(default_factory=set)  # from whom to whom nothing comes through
 
 
-class Instance:
+class Instance(Machine[said.Event]):
     """One router's part: a process that may die, stand still and start again."""
 
     def __init__(self, world: Elections, name: str, rate: float, disk: bool) -> None:
+        super().__init__(world.core, world.chance, name, rate)
         self.world = world
-        self.name = name
-        self.rate = rate
-        self.offset = world.chance.uniform(0.0, 1e6)
         self.disk = disk
         self.saved = said.Saved()  # on its disk
-        self.able = True
         self.slow = 0.0  # seconds that a withdrawal takes
-        self.stopped = False
-        self.waiting: list[said.Event] = []  # what comes while it stands still
-        self.wake: Event | None = None
         self.election: Election | None = None
-        self.boots = 0
-
-    def clock(self) -> float:
-        """Its own monotonic clock."""
-        return self.offset + self.rate * self.world.core.now
 
     def start(self) -> None:
         """A new process; without a disk it knows nothing."""
@@ -61,21 +51,7 @@
     def kill(self) -> None:
         """The process dies; nothing of it is said to anyone."""
         self.election = None
-        self.stopped = False
-        self.waiting.clear()
-        if self.wake is not None:
-            self.wake.cancel()
-
-    def stop(self) -> None:
-        """It stands still (SIGSTOP)."""
-        self.stopped = True
-
-    def go_on(self) -> None:
-        """It goes on where it stood, with all that came meanwhile."""
-        self.stopped = False
-        events, self.waiting = self.waiting, []
-        for event in events:
-            self.post(event)
+        self.forget()
 
     def holds(self) -> bool:
         """Whether it would accept a client now."""
@@ -108,11 +84,7 @@
                 boot = self.boots
                 world.core.after(self.slow, self._withdrawn, boot)
             case said.Wake(at):
-                if self.wake is not None:
-                    self.wake.cancel()
-                if at < float("inf"):
-                    pause = max(0.0, (at - self.clock()) / self.rate)
-                    self.wake = world.core.after(pause, self.post, said.Woke())
+                self.call_at(at, lambda: self.post(said.Woke()))
 
     def _withdrawn(self, boot: int) -> None:
         if boot == self.boots:
--- a/tests/test_duty_faults.py
+++ b/tests/test_duty_faults.py
@@ -21,6 +21,7 @@
 from myrtlecourse.fleet.session import Outcome, play, stand_up
 from myrtlecourse.load.profile import Profile
 
+pytestmark = pytest.mark.usefixtures("elbow_room")
 ROUTERS = 7
 VOTERS = (0, 1, 2)
 AT = 4.0
@@ -103,7 +104,9 @@
 
 def test_holders_that_are_killed_are_followed_and_what_they_did_is_not_done_again(tmp_path: Path) -> None:
     faults = [{"what": "restart", "at": AT, "holder": duty, "kill": True} for duty in ("purge", "tidy")]
-    played = Played(tmp_path, scenario(faults, peers=LOSSY, gap=2 * GAP))
+    # with three in ten lost each way a lease of five heartbeats runs out by itself every few seconds
+    told = {"voters": list(VOTERS), "each": EACH, "lease": 1.0}
+    played = Played(tmp_path, scenario(faults, peers=LOSSY, gap=2 * GAP, duties=told))
     played.kept()
     for duty in ("purge", "tidy"):
         assert played.holders(duty, AT) and played.steps(duty, AT + 5.0) >= 2
--- a/tests/test_duty_parts.py
+++ b/tests/test_duty_parts.py
@@ -18,7 +18,7 @@
 from myrtlecourse.config import ConfigError
 from myrtlecourse.duties import messages as said
 from myrtlecourse.duties.codec import KINDS, DutyCodec, split
-from myrtlecourse.duties.keeper import Keeper
+from myrtlecourse.duties.keeper import MOST_AFTER, Keeper
 from myrtlecourse.duties.memory import RememberError, read_memories, write_memories
 from myrtlecourse.duties.messages import Duty, Item, Memory, Settings
 from myrtlecourse.duties.steps import Steps, What
@@ -136,6 +136,33 @@
     run(scenario)
 
 
+def test_a_disk_that_hangs_costs_words_and_no_memory(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """And what has settled is told once it is well."""
+
+    async def scenario() -> None:
+        settings = Settings("a", ("a", "b", "c"), ("a", "b", "c"), (Duty("x"),))
+        memory = tmp_path / "folder" / "memory"
+        peers = dict.fromkeys(settings.members, ("127.0.0.1", 1))
+        keeper = Keeper(settings, peers, (b"k" * 16, ()), memory, None, lambda: True)
+        told: list[said.Took | said.Lost | said.Settled] = []
+        monkeypatch.setattr(keeper, "_tell_work", told.append)
+        keeper._carry_out(said.Save({"x": Memory(1)}))
+        keeper._carry_out(said.Settled("x", 1, 1))
+        word = said.Say("b", ((7, said.Taken(1, 1, True, 1)),))
+        for _ in range(3 * MOST_AFTER):
+            keeper._carry_out(word)
+        assert len(keeper.after) <= MOST_AFTER + 1
+        await asyncio.sleep(0.05)
+        assert not told
+        memory.parent.mkdir()
+        until = time.monotonic() + 5.0
+        while keeper.writing is not None and time.monotonic() < until:
+            await asyncio.sleep(0.01)
+        assert told == [said.Settled("x", 1, 1)] and read_memories(memory) == {"x": Memory(1)}
+
+    run(scenario)
+
+
 def test_steps_are_claimed_before_they_run_and_go_on_from_those_before() -> None:
     steps = Steps(10.0)
     assert steps.tick(0.0, 1000.0, 1) == []
--- a/tests/test_load_generator.py
+++ b/tests/test_load_generator.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 import os
 import signal
 import subprocess
@@ -68,17 +69,27 @@
 
 
 def test_a_stall_shows_in_full_where_a_closed_loop_hides_it() -> None:
-    """Latency falls evenly from the length of the stall: half of those it held up waited for half of it."""
+    """Each request's latency is from its time in the plan to its answer, though most were not sent at once.
+
+    What is expected goes by when the target did answer: on a crowded machine its own stall is longer.
+    """
     stall = 1.0
 
     async def scenario() -> None:
         loop = asyncio.get_running_loop()
         frozen_at = loop.time() + 0.3
+        answered: list[float] = []
 
-        def answer(target: Target, _: list[bytes], __: Any) -> None:
+        def answer(target: Target, parts: list[bytes], _: Any) -> None:
             now = loop.time()
             held = frozen_at <= now < frozen_at + stall
-            loop.call_later(frozen_at + stall - now if held else 0.0, target.say, VALUE)
+
+            def say() -> None:
+                if parts[1] != b"closed":
+                    answered.append(loop.time())
+                target.say(VALUE)
+
+            loop.call_later(frozen_at + stall - now if held else 0.0, say)
 
         closed: list[float] = []
 
@@ -86,7 +97,7 @@
             reader, writer = await asyncio.open_connection("127.0.0.1", port)
             while loop.time() < frozen_at + stall + 0.2:
                 sent = loop.time()
-                writer.write(b"*4\r\n$5\r\nC.GET\r\n$1\r\nk\r\n$1\r\ni\r\n$3\r\nc=r\r\n")
+                writer.write(b"*4\r\n$5\r\nC.GET\r\n$6\r\nclosed\r\n$1\r\ni\r\n$3\r\nc=r\r\n")
                 await reader.readexactly(len(VALUE))
                 closed.append(loop.time() - sent)
             writer.close()
@@ -99,14 +110,16 @@
         server.close()
         figures = generator.record.figures(1.5)
         assert figures["served"] == figures["scheduled"] == 600
-        # of 600 requests two thirds were held up: latency falls from 1 s to 0 over the upper two thirds
-        held = 400 / 600
+        due = [generator.began + plan.at for plan in planned(profile)]
+        latencies = sorted(at - planned_at for at, planned_at in zip(sorted(answered), due, strict=True))
+        told = figures["latency_ms"]
         for name, share in {"p50": 0.5, "p90": 0.9, "p99": 0.99, "max": 1.0}.items():
-            expected = stall * max(0.0, 1 - (1 - share) / held) * 1000
-            assert figures["latency_ms"][name] == pytest.approx(expected, abs=60.0)
-        assert figures["latency_ms"]["mean"] == pytest.approx(stall * 1000 * held / 2, abs=30.0)
+            expected = latencies[math.ceil(share * len(latencies)) - 1] * 1000
+            assert told[name] == pytest.approx(expected, rel=0.1, abs=60.0)
+        assert told["mean"] == pytest.approx(sum(latencies) / 600 * 1000, rel=0.1, abs=30.0)
+        assert told["p50"] > 200.0 and told["max"] > 900.0  # two thirds were held up, by half of the stall
         closed.sort()
-        assert closed[int(0.99 * len(closed))] < 0.1 and max(closed) > 0.9  # one of its requests tells
+        assert max(closed) > 0.9 and closed[int(0.9 * len(closed))] < told["p90"] / 4000  # one of its tells
 
     run(scenario)
 
--- a/tests/test_zone_exit.py
+++ b/tests/test_zone_exit.py
@@ -23,6 +23,7 @@
 from myrtlecourse.load.profile import Profile
 from myrtlecourse.zones.verdict import HOLD
 
+pytestmark = pytest.mark.usefixtures("elbow_room")
 ROUTERS = 6
 AT = 4.0  # seconds after the load begins
 SECONDS = 12.0
@@ -121,11 +122,13 @@
     assert not any("alone" in log for name, log in played.logs.items() if name != "router-0")
 
 
-@pytest.mark.parametrize("way", ["counts_twice", "believes_one"])
+@pytest.mark.parametrize("way", ["", "counts_twice", "believes_one"])
 def test_a_fleet_that_goes_by_one_router_s_word_is_caught(way: str, tmp_path: Path) -> None:
-    faults = [{"what": "unreached", "at": AT, "routers": [0], "boxes": "south", "seconds": 5.0}]
-    played = Played(tmp_path, scenario(faults), way=way)
-    assert any(zones == SOUTH for r, each in played.left.items() if r != "router-0" for _, zones in each)
+    """At little load, where the others' own answers contradict it seldom."""
+    faults = [{"what": "unreached", "at": AT, "routers": [0], "boxes": "south", "seconds": 7.5}]
+    played = Played(tmp_path, scenario(faults), rate=40.0, way=way)
+    led = any(zones == SOUTH for r, each in played.left.items() if r != "router-0" for _, zones in each)
+    assert led is bool(way), played.left
 
 
 CUT = [
