Judge a step done twice under one token too, and claim steps of the present holding alone

A search of 2,861 random schedules found step 57 of a duty done by two tokens. Traced: the two holdings were one process's. What the simulated holder had planned in its holding before claimed each step once more in the next, under the same token, which nothing judged; only as the second holding ended did it show. The holder of the program (duties/steps.py) compares tokens and was not at fault; the simulated one does now, and any step done twice is a breach.

--- a/myrtlecourse/sim/duties.py
+++ b/myrtlecourse/sim/duties.py
@@ -102,14 +102,14 @@
             case said.Wake(at):
                 self.call_at(at, lambda: self.post(said.Woke()))
 
-    def claim(self, duty: str, step: int, boot: int) -> None:
-        """Claim a step, if the duty is still held."""
+    def claim(self, duty: str, step: int, token: int, boot: int) -> None:
+        """Claim a step, if the duty is still held by the same right as when this was planned."""
         if boot != self.boots or self.stopped or self.duties is None:
             if self.stopped and boot == self.boots:
-                self.world.core.after(PAUSE, self.claim, duty, step, boot)
+                self.world.core.after(PAUSE, self.claim, duty, step, token, boot)
             return
-        token = self.duties.may(self.clock(), duty)
-        if token is None or (duty in self.claims and self.claims[duty].token == token):
+        # guards the steps: what was planned in an earlier holding would be claimed once more in this one
+        if self.duties.may(self.clock(), duty) != token:
             return
         number = self.duties.leads[duty].number + 1
         self.claims[duty] = Claim(token, step, number)
@@ -190,7 +190,7 @@
         if step < self.lasting[duty] and not self.forgot:
             raise Broken(f"forgotten: {duty} goes on from step {step}, after {self.lasting[duty]}")
         if next(d.orders for d in self.duties if d.name == duty):
-            self.core.after(PAUSE, process.claim, duty, step + 1, process.boots)
+            self.core.after(PAUSE, process.claim, duty, step + 1, token, process.boots)
 
     def settled(self, process: Process, duty: str, token: int, number: int) -> None:
         """A claim will not be forgotten: now its step may be done."""
@@ -200,10 +200,11 @@
         self.lasting[duty] = max(self.lasting[duty], claim.step)
         del process.claims[duty]
         if process.duties.may(process.clock(), duty) == token:
-            before = self.done.setdefault((duty, claim.step), token)
-            if before != token and not self.forgot:
+            before = self.done.get((duty, claim.step))
+            if before is not None and not self.forgot:
                 raise Broken(f"done_twice: step {claim.step} of {duty} by {before} and {token}")
-        self.core.after(PAUSE, process.claim, duty, claim.step + 1, process.boots)
+            self.done[duty, claim.step] = token
+        self.core.after(PAUSE, process.claim, duty, claim.step + 1, token, process.boots)
 
     def obeys(self, process: Process, order: said.Obeys) -> None:
         """A member obeys from now on."""
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -17,6 +17,7 @@
 from myrtlecourse.election import messages as election
 from myrtlecourse.election.messages import turn_of
 from myrtlecourse.sim.duties import Broken, World, schedule, well_again
+from myrtlecourse.sim.duty_commands import random_duties
 from myrtlecourse.sim.exhaust import explore
 from tests.loopback import needs_sources
 from tests.wrong_duties import WAYS
@@ -61,6 +62,11 @@
     assert there.settle(bound if disks else bound + 2 * (told.lease + 2.0)) is not None
 
 
+def test_a_step_is_claimed_once_in_a_holding_that_follows_one_of_the_same_process() -> None:
+    """A find of the search: what a process had planned in its last holding claimed each step once more."""
+    assert random_duties(502860, disks=True) == ""
+
+
 @needs_sources
 @pytest.mark.parametrize("disks", [True, False])
 def test_every_schedule_with_one_trouble_keeps_the_rules(disks: bool) -> None:
