--- a/myrtlecourse/zones/pace.py
+++ b/myrtlecourse/zones/pace.py
@@ -3,8 +3,9 @@
 
 A step is a share of the points of each of its servers, the same points at every router, so that a key goes
 over once and stays. The first is small and each may double what is there (slow start, as of TCP; RFC 5681,
-3.1), as long as the servers that come back answer no worse than those that took over, and the origin bears
-what they lack. Where staff have said what the origin bears, a step is cut to what is left of that.
+3.1), as long as the servers that come back answer no worse than those that took over. Where they lack what
+they are asked for, the origin bears that: a step is cut to what is left of what staff have said it bears or,
+where they have not, short and always the same (congestion avoidance, as there).
 """
 
 from __future__ import annotations
@@ -26,7 +27,8 @@
 LACKING = 0.2  # more of its answers missed than of the others': what comes over is fetched anew
 FULL = 0.1  # of the origin's answers pressed: no further
 NEARLY = 58  # of WHOLE, from which on a step takes the rest as well
-KEPT = 0.8  # of what the origin bears: arrivals come by chance
+ADDED = 4  # of WHOLE: a step where the origin has to fetch what comes over, and nobody has said how fast
+KEPT = 0.9  # of what the origin bears: arrivals come by chance
 
 
 @dataclass(slots=True, frozen=True)
@@ -72,7 +74,7 @@
         return share
     most = max(1, share) if goes_on else 1
     if goes_on and not origin_rate and lacking(view):
-        most = max(1, share // 2)  # nobody knows yet what that costs the origin
+        most = min(most, ADDED)  # nobody knows what the origin bears: not found out by asking for too much
     if origin_rate and view.comes:
         room = (KEPT * origin_rate - view.fetches) * view.mine
         fits = math.floor(max(-1.0, min(WHOLE, WHOLE * room / view.comes)))
