--- a/bench/zone_return.py
+++ b/bench/zone_return.py
@@ -19,12 +19,14 @@
 import sys
 from collections import Counter, defaultdict, deque
 from collections.abc import Callable
+from contextlib import nullcontext
 from pathlib import Path
 from typing import Any
 
 import msgspec
 import numpy as np
 
+from bench.led_return import Led
 from myrtlecourse.audit import observations as seen
 from myrtlecourse.fleet.box import Box, Request
 from myrtlecourse.fleet.layout import ORIGIN
@@ -215,7 +217,8 @@
         for node in world.nodes.values():
             node.observe = observe
         world.clients.observe = observe
-        result = world.run()
+        with Led(world) if way == "duty" else nullcontext():
+            result = world.run()
     finally:
         pace.step = usual
     # where a zone dies again, only the last return is told
@@ -286,6 +289,8 @@
     for case in options.cases:
         for routers in options.routers:
             for way in (*options.ways, *(f"ramp {seconds:g}" for seconds in options.ramps)):
+                if case == "split" and way == "alone":
+                    continue  # nothing to split
                 figures = play(routers, case, way, options.rate, options.seed)
                 rows.append({"case": case, "routers": routers, "way": way, **figures})
                 print(f"{case:8} {routers:7} {way:9} {shown(figures)}", flush=True)
