--- a/myrtlecourse/zones/commands.py
+++ b/myrtlecourse/zones/commands.py
@@ -16,7 +16,19 @@
     """A router's view of the zones."""
     title = f"{at}: router {told['name']} in {told['zone'] or 'no zone'}"
     table = Table(title=title if told["believes"] else f"{title}, hears nobody")
-    for heading in ("zone", "looks", "heard", "refused", "silent", "left", "order", "since", "by", "ends in"):
+    for heading in (
+        "zone",
+        "looks",
+        "heard",
+        "refused",
+        "silent",
+        "left",
+        "order",
+        "since",
+        "by",
+        "ends in",
+        "waits",
+    ):
         table.add_column(heading)
     for zone in told["zones"]:
         since = f"{zone['since_s']:.0f} s" if zone["since_s"] is not None else ""
@@ -24,7 +36,10 @@
         looks = "out of reach from here alone" if zone["alone"] else zone["looks"]
         figures = [str(zone[name]) for name in ("heard", "refused", "silent")]
         left = "yes" if zone["left"] else ""
-        table.add_row(zone["zone"], looks, *figures, left, zone["order"], since, zone["by"], ends)
+        if zone["share"] is not None:
+            left = f"coming back, {zone['share']:.0%}"
+        told_of = zone["order"], since, zone["by"], ends, zone["waits"]
+        table.add_row(zone["zone"], looks, *figures, left, *told_of)
     return table
 
 
