Share what the origin bears among all returns under way, of each zone and each zone's routers

Two zones that came back at once had each the whole of it for the routers of a zone: parts went by routers alone. A test counts them. How a return goes on moved out of zones/core.py into zones/returns.py.

--- a/myrtlecourse/zones/core.py
+++ b/myrtlecourse/zones/core.py
@@ -253,8 +253,7 @@
         if standing.out:
             held = now >= register.since + standing.hold and self._ordered(zone) is not Order.ORDERED_HOLD
             # the others' word does where this zone's routers have not tried for long: a cut between two
-            # zones is
-            # no business of a third
+            # zones is no business of a third
             long = now >= register.since + UNTRIED * standing.hold
             if not held or not (verdict.back(near) or (long and self._back_elsewhere(near, far))):
                 return False
@@ -287,32 +286,18 @@
         if self._ordered(zone) is Order.ORDERED_HOLD:
             self.returns.waits[zone] = "an operator holds it"
             return False
-        before, age = register.standing, now - register.since
-        mine = self.members.get(self.home, 1)
-        homes = {home for (home, _), r in self.registers.items() if r.standing.order is Order.BACK}
-        part = mine / max(1, sum(self.members.get(home, 1) for home in homes))
+        # each return that is under way, of whichever zone's routers, has its part of what the origin bears
+        under_way = [home for (home, _), r in self.registers.items() if r.standing.order is Order.BACK]
+        whole = sum(self.members.get(home, 1) for home in under_way)
+        part = self.members.get(self.home, 1) / max(1, whole)
         load = self.tiers.lost(self.names[self.home], self.sizes, frozenset((self.names[zone],)))
         reports = [Report(self.home, now, self.counts.tallies(now))]
         reports += [Report(r.zone, r.made_at, self._told_by(r)) for r in self.records]
         view = self.returns.view(now, register.since, zone, reports, self.members, self.home, load, part)
-        share = pace.step(before.share, age, view, self.returns.origin_rate)
-        self.returns.waits[zone] = pace.why_not(view)
-        # the last step is proven like the others
-        whole = before.share >= WHOLE and pace.proven(age, view)
-        if whole or now - self.returns.began.get(zone, now) >= pace.LONGEST:
-            order, share = Order.IN, 0
-        elif share == before.share:
+        step = self.returns.step(now, zone, register.standing, now - register.since, view)
+        if step is None:
             return False
-        else:
-            order = Order.BACK
-        standing = Standing(before.epoch + 1, order, before.flaps, 0, share)
-        seen = f"{view.heard} answers, {view.pressed} slow, {view.missed} missed"
-        if order is Order.IN:
-            why = f"all of it is back ({seen})"
-        else:
-            way = "on" if share > before.share else "back"
-            why = f"{share}/{WHOLE} of it, {way} from {before.share} ({seen})"
-        self._set(now, zone, standing, why)
+        self._set(now, zone, *step)
         return True
 
     @staticmethod
--- a/myrtlecourse/zones/returns.py
+++ b/myrtlecourse/zones/returns.py
@@ -6,9 +6,10 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 
+from myrtlecourse.zones import pace
 from myrtlecourse.zones.evidence import LONG, PERIOD, SHORT, Tally
 from myrtlecourse.zones.pace import ENOUGH, View
-from myrtlecourse.zones.verdict import Order, Standing
+from myrtlecourse.zones.verdict import WHOLE, Order, Standing
 
 LATER = PERIOD * LONG  # seconds of the longer counts
 WINDOW = PERIOD * (SHORT - 0.5)  # seconds that short counts are of, on average: the latest period is not over
@@ -96,3 +97,20 @@
             comes=load * asking,
             mine=mine,
         )
+
+    def step(
+        self, now: float, zone: int, before: Standing, age: float, view: View
+    ) -> tuple[Standing, str] | None:
+        """How a zone stands from now on, `age` seconds after its last step, and why; None: as before."""
+        share = pace.step(before.share, age, view, self.origin_rate)
+        self.waits[zone] = pace.why_not(view)
+        seen = f"{view.heard} answers, {view.pressed} slow, {view.missed} missed"
+        # the last step is proven like the others
+        proven = before.share >= WHOLE and pace.proven(age, view)
+        if proven or now - self.began.get(zone, now) >= pace.LONGEST:
+            return Standing(before.epoch + 1, Order.IN, before.flaps), f"all of it is back ({seen})"
+        if share == before.share:
+            return None
+        way = "on" if share > before.share else "back"
+        why = f"{share}/{WHOLE} of it, {way} from {before.share} ({seen})"
+        return Standing(before.epoch + 1, Order.BACK, before.flaps, 0, share), why
--- a/tests/test_zone_return.py
+++ b/tests/test_zone_return.py
@@ -152,6 +152,29 @@
     assert all(a == b for a, b in homes.values())
 
 
+def test_all_returns_under_way_share_what_the_origin_bears(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Those of two zones, by the routers of three: no router may take the whole of it for each."""
+    parts: list[float] = []
+    usual = pace.step
+
+    def step(share: int, age: float, view: View, origin_rate: float) -> int:
+        parts.append(view.mine)
+        return share if len(parts) < 200 else usual(share, age, view, origin_rate)
+
+    monkeypatch.setattr(pace, "step", step)
+    fleet = Fleet(*SIX)
+    for zone in ("south", "west"):
+        fleet.attempts(zone, Reach.REFUSED)
+    fleet.run(HOLD + 1.0)
+    for _ in range(20):
+        for zone in ("south", "west"):
+            fleet.attempts(zone, Reach.HEARD, times=1)
+        fleet.run(0.2)
+    assert len(parts) > 200
+    # two routers of twelve: six routers, each with two returns
+    assert parts[150:200] == [pytest.approx(2 / 12)] * 50
+
+
 def test_a_zone_that_is_back_slow_gets_little_and_all_of_it_when_it_is_well() -> None:
     fleet = Fleet(*SIX)
     out_and_back(fleet)
