--- a/bench/address_move.py
+++ b/bench/address_move.py
@@ -37,6 +37,7 @@
 HEARTBEAT, LEASE, SETTLE = 0.2, 0.8, 0.4
 SERVICE = "service"  # the one router that clients see
 ON_ITS_WAY = 0.05  # seconds for which an answer may still come of a router that has been killed
+PICTURED = 0.1  # seconds of a step in the picture
 CALM = 1.0  # seconds between a move and the next kill
 SCENARIO: dict[str, Any] = {
     "routers": 3,
@@ -123,7 +124,30 @@
         await asyncio.sleep(0.005)
 
 
-async def play(kills: int, rate: float, folder: Path) -> dict[str, Any]:
+def draw(
+    path: Path, told: list[seen.Observation], killed: float, moved: float, names: tuple[str, str]
+) -> None:
+    """One move second by second: how clients' tries ended, and who had the address, seconds from the kill."""
+    from matplotlib.figure import Figure  # noqa: PLC0415  (slow to import)
+
+    figure = Figure(figsize=(9, 4), layout="constrained")
+    upper, lower = figure.subplots(2, 1, sharex=True, height_ratios=(3, 1))
+    slots = np.arange(-1.0, 3.0, PICTURED)
+    ends = [(e.how, e.at - killed) for e in told if isinstance(e, seen.Answered | seen.Unanswered)]
+    for how in ("served", "refused", "failed", "ended", "late"):
+        counts, _ = np.histogram([at for h, at in ends if h == how], [*slots, 3.0])
+        if counts.any():
+            upper.step(slots, counts, where="post", label=how)
+    upper.set(ylabel=f"tries ended, each {PICTURED:g} s", title="the holder of the service address is killed")
+    upper.legend()
+    lower.barh(0, 1.0, left=-1.0, label=names[0])
+    lower.barh(1, 3.0 - moved + killed, left=moved - killed, label=names[1])
+    lower.axvline(0.0, color="black", lw=0.8)
+    lower.set(yticks=(0, 1), yticklabels=names, xlabel="seconds from the kill", xlim=(-1.0, 3.0))
+    figure.savefig(path, dpi=90)
+
+
+async def play(kills: int, rate: float, folder: Path, picture: Path | None) -> dict[str, Any]:
     """Kill the holder so many times; answers with the figures."""
     told: list[seen.Observation] = []
 
@@ -147,6 +171,7 @@
     told.append(seen.RouterUp(time.monotonic(), SERVICE))
     load = asyncio.create_task(generator.run())
     moves, outages = [], []
+    drawn: tuple[float, float, tuple[str, str]] | None = None
     for _ in range(kills):
         await asyncio.sleep(CALM)
         first = await place.holder()
@@ -154,17 +179,20 @@
         await place.routers[first].end(kill=True)
         place.switch.gone(first)
         told.append(seen.RouterDown(began, SERVICE, True))
-        await place.holder(first)
+        second = await place.holder(first)
         moves.append(time.monotonic() - began)
         outages.append(await served_after(told, began) - began)
         told.append(seen.RouterUp(time.monotonic(), SERVICE))
         await place.start_one(first)
         await asyncio.sleep(LEASE + SETTLE)
+        drawn = drawn or (began, began + moves[0], (first, second))
     load.cancel()
     await asyncio.gather(load, return_exceptions=True)
     await asyncio.gather(*(router.end(kill=False) for router in place.routers.values()))
     place.switch.close()
     fleet.close()
+    if picture is not None and drawn is not None:
+        draw(picture, told, *drawn)
     return figures(told, moves, outages, bound.election().longest_vacancy)
 
 
@@ -201,9 +229,10 @@
     parser.add_argument("--kills", type=int, default=20)
     parser.add_argument("--rate", type=float, default=150.0, help="requests a second")
     parser.add_argument("--json", type=Path, help="write the figures there")
+    parser.add_argument("--picture", type=Path, help="draw the first move, second by second")
     options = parser.parse_args()
     with tempfile.TemporaryDirectory(prefix="myrtlecourse-") as folder:
-        found = asyncio.run(play(options.kills, options.rate, Path(folder)))
+        found = asyncio.run(play(options.kills, options.rate, Path(folder), options.picture))
     print(json.dumps(found, indent=2))
     if options.json is not None:
         options.json.write_text(json.dumps(found, indent=2) + "\n")
--- a/tests/test_ops_calls.py
+++ b/tests/test_ops_calls.py
@@ -28,6 +28,7 @@
         (sent("GET", "/control/fleet"), Call(Kind.FLEET)),
         (sent("PUT", "/control/zones/a%20b/out?seconds=30"), Call(Kind.ZONE_OUT, "a b", 30.0)),
         (sent("PUT", "/control/zones/a/in"), Call(Kind.ZONE_IN, "a")),
+        (sent("PUT", "/control/zones/a/hold?seconds=5"), Call(Kind.ZONE_HOLD, "a", 5.0)),
     ],
 )
 def test_a_call_is_known_whole_and_cut_anywhere(data: bytes, call: Call) -> None:
--- a/tests/test_zone_exit.py
+++ b/tests/test_zone_exit.py
@@ -303,6 +303,7 @@
         south = next(z for z in told["zones"] if z["zone"] == "south")
         assert south["left"] and south["order"] == "ordered_out" and south["by"] == "4"
         assert [m["name"] for m in told["members"]] == [str(n) for n in range(ROUTERS)]
+        assert await routers[2].call("PUT", "zones/west/hold?seconds=30") == 200
         assert await routers[0].call("PUT", "zones/south/in?seconds=5") == 200
         await reloaded(tmp_path, routers)
         while not all(not zones_left(log)[-1][1] for log in logs) and time.monotonic() < until:
