--- a/deploy/build.py
+++ b/deploy/build.py
@@ -56,6 +56,8 @@
     "zones/agent.py",
     "zones/core.py",
     "zones/evidence.py",
+    "zones/pace.py",
+    "zones/returns.py",
     "zones/setup.py",
     "zones/tiers.py",
     "zones/verdict.py",
