Try a left zone more often once a trial has come through

Cause: restarted servers were taken back by the list's word before, and now wait for trials as the rest does; two answers in half a second, or three in two, are rare at three trials a second of two routers. Once one trial has come through they go four times as often, until it is back or two seconds have passed without another.

--- a/myrtlecourse/zones/core.py
+++ b/myrtlecourse/zones/core.py
@@ -26,6 +26,7 @@
 ALONE = 2.0  # seconds for which others reach what this router does not: then it is this one
 FRESH = 2.5  # the same of its longer ones
 TRIALS_A_SECOND = 3.0  # of the routers of a zone together, at a zone that is out
+QUICKER = 4.0  # times that, once one has come through
 UNTRIED = 4.0  # times its hold, after which what others reach is taken for back where nobody has tried
 CALM = 20.0  # seconds back, after which leaving again is not flapping
 FORGOTTEN = 120.0  # seconds after which a register that is in need not be told any more
@@ -204,6 +205,11 @@
         self._give(now, left, {z: self._standing(z).share for z in self.names if self._returns(z)})
         return changed
 
+    def _answers(self, now: float, zone: int) -> bool:
+        """Whether a trial of a zone that is left has come through to any of this one's routers."""
+        since = self.registers.get((self.home, zone), Register()).since
+        return any(t.heard_long for t in self._seen(now, zone, since)[0])
+
     def _standing(self, zone: int) -> Standing:
         """How a zone stands for this one's routers."""
         return self.registers.get((self.home, zone), Register()).standing
@@ -385,6 +391,8 @@
         what comes back."""
         origin = ident(ORIGIN, 2)
         every = self.members.get(self.home, 1) / TRIALS_A_SECOND
+        if any(self._answers(now, n) for n in numbers):
+            every /= QUICKER  # it may be back: soon enough answers to know
         zones = frozenset(self.names[n] for n in numbers if n != origin)
         forced = frozenset(
             self.names[n] for n in numbers if n != origin and self._ordered(n) is Order.ORDERED_OUT
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -207,6 +207,18 @@
     assert outs[0] <= HOLD + LONG * PERIOD + 1.0
 
 
+def test_a_trial_that_comes_through_is_followed_by_more_of_them_soon() -> None:
+    fleet = Fleet(*SIX)
+    fleet.attempts("south", Reach.REFUSED)
+    fleet.run(HOLD + 1.0)
+    seldom = fleet.each["r0"].given.trial_every
+    fleet.attempts("south", Reach.HEARD, "r1", times=1)
+    fleet.run(0.2)
+    assert fleet.left()["r0"] and fleet.each["r0"].given.trial_every <= seldom / 2
+    fleet.run(LONG * PERIOD + 1.0)
+    assert fleet.left()["r0"] and fleet.each["r0"].given.trial_every == seldom
+
+
 def test_trials_that_fail_keep_it_out_and_what_came_before_brings_nobody_back() -> None:
     fleet = Fleet(*SIX)
     fleet.attempts("south", Reach.HEARD, times=30)
