--- a/tests/test_zone_return.py
+++ b/tests/test_zone_return.py
@@ -425,7 +425,7 @@
     played.kept()
     for router, exits in played.left.items():
         again = [at for at, zones in exits if at > MIDDLE and zones == SOUTH]
-        assert again and again[0] < MIDDLE + 1.5 * SOON, (router, exits)
+        assert again and again[0] < MIDDLE + SOON, (router, exits)
         assert exits[-1][1] == frozenset()
     for each in returned(played, tmp_path).values():
         assert each[-1][1] == 1.0, each
