Begin no attempt that must not begin any more, and close clients' connections lingering

Ruled out: the window itself (the decision asks it each time), and a reset after the window (refused then, which the group allows).

- `Send` carries the time by which it has to be written (`within`); the connection asks `may_begin` of the attempt once it has come up, or a place in the queue of dials has: the client is there, the server neither drains nor is out by operators, the window is open.
`d` tells the time left from then on.
A repeat whose last byte is held back past its window is cut off.
- Hang-ups are seen without reading (POLLRDHUP): every 20 ms over the connections that are not read, and again just before an attempt begins.
- Clients' connections are closed by shutting down the sending side, reading and discarding for 0.5 s or 256 KiB, then closing: swept, evicted, emptied, at the end, after an error, and in the midst of a long answer.
They were aborted, which resets them over unread bytes and takes the answer just written along.
- Accepted sockets had no TCP_NODELAY, on neither event loop: both set it only for sockets that name their protocol.
- A router that ends takes no request that could be unanswered when SIGKILL may come (the longest deadline of the settings and 0.7 s after SIGTERM), and closes each connection as its last answer is out.
It held on for 3 s whatever the deadlines were.
- The look at a kept connection comes last before the write, after the request has been spelled.
- `-BUSY` proves that a request never ran only as a line of its own with nothing behind it; half a line before another answer could spell it.
- An answer of the origin without a length is whole when the connection ends in good order; a reset is no end.

--- a/myrtlecourse/interface.py
+++ b/myrtlecourse/interface.py
@@ -116,6 +116,8 @@
     max_retry_after: float = 0.0  # longest time to come back that clients honour
     connection_price: float = 0.0  # of 100 open connections at every server
     handshake_price: float = 0.0  # of a new connection for every request
+    longest_deadline: float = 3.0  # of all classes: for which a client waits, in all its tries
+    drain_grace: float = 2.0  # after which nothing new may go to a server that is told to drain, or gone
     cold_share: float = 0.3
     ramp: float = 10.0
     fall_multiple: float = 2.0
@@ -340,16 +342,24 @@
 
 @dataclass(slots=True, unsafe_hash=True, init=False)
 class Send:
-    """Start an attempt; a request's attempts are numbered from 0 in the order sent."""
+    """Start an attempt; a request's attempts are numbered from 0 in the order sent.
+
+    `within`: the time by which its last byte has to be written, as servers drop a repeat only so long; a host
+    that comes to it later does not begin it, and says that it was moot.
+    """
 
     request: str
     server: str
     timeout: float | None  # None: until the client gives up
+    within: float | None  # None: whenever there is a connection
 
-    def __init__(self, request: str, server: str, timeout: float | None = None) -> None:
+    def __init__(
+        self, request: str, server: str, timeout: float | None = None, within: float | None = None
+    ) -> None:
         self.request = request
         self.server = server
         self.timeout = timeout
+        self.within = within
 
 
 @dataclass(slots=True, unsafe_hash=True, init=False)
--- a/myrtlecourse/net/clients.py
+++ b/myrtlecourse/net/clients.py
@@ -11,7 +11,8 @@
 
 from myrtlecourse.net.command import MAX_INFO, MAX_KEY, MAX_VALUE, CommandError, read_command
 from myrtlecourse.net.connection import Exchange, readable
-from myrtlecourse.net.host import Host, busy
+from myrtlecourse.net.hangup import has_hung_up
+from myrtlecourse.net.host import FAILED, Host, busy
 from myrtlecourse.net.resp import NOT_YET, Message, Reader, RespError, split_command
 from myrtlecourse.net.transport import Transport
 
@@ -25,7 +26,8 @@
 MAX_PIPELINED = 32  # commands of one connection that wait for their answers
 MAX_SHORT = 4096  # bytes of what is read the short way
 LONG_TURN = 0.005  # seconds; after a longer one it is looked up how long commands have lain in their sockets
-LINGER = 0.5  # seconds for a closing connection to take its last answer
+LINGER = 0.5  # seconds for which a closed connection is still read, so that its last answer arrives
+DISCARDED = 256 * 1024  # bytes read in that time at the most: a bad client would send on at full speed
 ERROR_PAUSE = 0.1  # seconds for which a connection is not read after an error
 LAST_DATA_RECEIVED = 52  # the offset in tcp_info of a 32-bit number of milliseconds
 log = logging.getLogger(__name__)
@@ -93,9 +95,22 @@
         self.connection.answered(self, b"\r\n")
 
     def cut(self) -> None:
-        """It will not be whole: only a close tells, as the client counts what it was promised."""
+        """It will not be whole: only a close tells, as the client counts what it was promised.
+
+        Of one that waits behind others nothing has been passed on: an error tells, and the others stand.
+        """
         self.over()
-        self.connection.transport.abort()
+        connection = self.connection
+        if connection.slots and connection.slots[0] is not self:
+            self.pieces.clear()
+            connection.answered(self, FAILED)
+            return
+        connection.close()
+        connection.settle()
+
+    def there(self) -> bool:
+        """Whether the client still waits; asked just before an attempt begins."""
+        return self.connection.there()
 
     def over(self) -> None:
         """Nothing more comes for it; gives back what it held. May be called again."""
@@ -116,6 +131,7 @@
     def __init__(self, host: Host, listener: Listener, client: socket.socket) -> None:
         self.host = host
         self.socket = client
+        self.descriptor = client.fileno()
         self.listener = listener
         self.reader = Reader(MAX_PARTS, MAX_VALUE, MAX_COMMAND)
         self.slots: deque[Slot] = deque()
@@ -125,6 +141,9 @@
         self.writable = True
         self.paused = False  # after an error
         self.ending = False  # no command is taken any more
+        self.half_closed = False  # its sending side is shut down; what comes is read and discarded
+        self.discarded = 0  # bytes
+        self.gone = False  # the client has hung up, or the connection is over
         self.reserved = 0  # bytes of room for a long value that comes in
         self.starved = False  # it waits for that room
         self.came_at = 0.0  # when the last bytes did (the loop's clock)
@@ -135,6 +154,12 @@
         self.listener.note(self)
 
     def data_received(self, data: bytes) -> None:
+        if self.half_closed:
+            # never executed: nobody could be answered, and its client asks again elsewhere
+            self.discarded += len(data)
+            if self.discarded > DISCARDED:
+                self.transport.abort()
+            return
         turns = self.host.turns
         turns.note()
         self.came_at = self.listener.loop.time()
@@ -160,7 +185,9 @@
 
     def _take_commands(self) -> None:
         try:
-            self._take_whole_ones()
+            # guards the cache servers: what a client left behind in the buffer nobody waits for
+            if self.there():
+                self._take_whole_ones()
         except Exception:
             self._fault()
 
@@ -225,11 +252,14 @@
             if refusal is not None and not self.slots and self.reading and not self.ending:
                 self._reserve_no_more()
                 self.transport.write(refusal)
+                if self.listener.stopping:
+                    self.close()
                 return
         slot = Slot(self)
         slot.reserved, self.reserved = self.reserved, 0
         self.slots.append(slot)
         if refusal is not None:
+            self.ending = self.ending or self.listener.stopping
             slot.fill(refusal)
             return
         if isinstance(parts, list) and len(parts) == 1 and parts[0] in (b"PING", b"ping"):
@@ -269,7 +299,7 @@
             self.listener.note(self)
         elif self.writable:
             self.slots[0].go_on()
-        if self.ending and not self.slots:
+        if not self.slots and (self.ending or self.listener.leaves(self)):
             self.close()
         elif not self.reading and not self.ending:
             self.listener.loop.call_soon(self._take_commands)
@@ -292,11 +322,48 @@
         self.answered(slot, error.encode("ascii", "replace") + b"\r\n")
 
     def close(self) -> None:
-        """Close once what was written has gone out, or soon if it does not."""
-        self.transport.close()
-        if self.transport.get_write_buffer_size():
-            # guards the descriptors: a client that takes no answers would keep its connection for good
-            asyncio.get_running_loop().call_later(LINGER, self.transport.abort)
+        """Lingering close: shut down the sending side, read and discard for a while, then close.
+
+        Guards the last answer: a close over bytes that came unread resets the connection, and what the client
+        has not taken yet is gone. May be called again.
+        """
+        if self.half_closed or self.gone or self.transport.is_closing():
+            return
+        self.ending = self.half_closed = True
+        self.reader.buffer.clear()
+        self._reserve_no_more()
+        self.listener.linger(self)
+        self.transport.write_eof()
+        self._read_or_not()
+        # guards the descriptors: a client that takes no answers, or rests, would keep its connection for good
+        self.listener.loop.call_later(LINGER, self.transport.abort)
+
+    def eof_received(self) -> None:
+        """The client has hung up: nothing more begins for it. What is written goes out, for a while."""
+        self.settle()
+        if not self.half_closed:
+            self.listener.loop.call_later(LINGER, self.transport.abort)
+
+    def there(self) -> bool:
+        """Whether the client has not hung up, also while it is not read."""
+        if not self.gone and not self.reading and has_hung_up(self.descriptor):
+            self.hung_up()
+        return not self.gone
+
+    def hung_up(self) -> None:
+        """The client has hung up, behind what lies unread."""
+        self.settle()
+        self.transport.abort()
+
+    def settle(self) -> None:
+        """No answer reaches the client any more: its requests end, and nothing more is sent for them."""
+        self.gone = True
+        self._reserve_no_more()
+        slots, self.slots = self.slots, deque()
+        for slot in slots:
+            slot.over()
+            if slot.answer is None and slot.request is not None:
+                self.host.client_gone(slot.request)
 
     def _wanted(self) -> bool:
         held_up = self.ending or self.paused or self.starved or not self.writable
@@ -304,10 +371,15 @@
 
     def _read_or_not(self) -> None:
         """Bounds what a client can make the router hold: no reading while too much is unanswered."""
-        wanted = self._wanted()
+        wanted = self.half_closed or self._wanted()
         if wanted != self.reading and not self.transport.is_closing():
             self.reading = wanted
-            (self.transport.resume_reading if wanted else self.transport.pause_reading)()
+            if wanted:
+                self.listener.hang_ups.remove(self)
+                self.transport.resume_reading()
+            else:
+                self.transport.pause_reading()
+                self.listener.hang_ups.add(self)
 
     def pause_writing(self) -> None:
         self.writable = False
@@ -326,10 +398,6 @@
         return readable(self.transport)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        self.listener.hang_ups.remove(self)
         self.listener.forget(self)
-        self._reserve_no_more()
-        for slot in self.slots:
-            slot.over()
-            if slot.answer is None and slot.request is not None:
-                self.host.client_gone(slot.request)
-        self.slots.clear()
+        self.settle()
--- a/myrtlecourse/net/connection.py
+++ b/myrtlecourse/net/connection.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import select
 from abc import abstractmethod
 from collections.abc import Callable
@@ -42,7 +43,16 @@
 
 
 class Receiver(Protocol):
-    """Takes a long answer piece by piece, in place of its value at the end."""
+    """Whom an attempt is for; takes a long answer piece by piece, in place of its value at the end."""
+
+    def may_begin(self) -> bool:
+        """Whether the request may still be written, asked where that comes later than the decision."""
+
+    def time_left(self) -> float:
+        """Seconds for which its router will wait from now on."""
+
+    def latest(self) -> float:
+        """Seconds from now within which its last byte has to be written; a later one never runs."""
 
     def begin(self, length: int, source: Exchange) -> bool:
         """A value of so many bytes begins; False when it is not wanted any more."""
@@ -70,6 +80,18 @@
         self.open = True
         self.connection: Connection | None = None
 
+    def may_begin(self) -> bool:
+        """Whether it is still wanted, now that there is a connection for it; if not, it is over.
+
+        Guards the rules on what is sent late: its client may have hung up meanwhile, its server begun to
+        drain, or the time in which the server drops its repeat have run out.
+        """
+        if self.open and self.receiver is not None and not self.receiver.may_begin():
+            self.finish(Status.MOOT)
+        if self.open and self.receiver is not None:
+            self.time_left = self.receiver.time_left()
+        return self.open
+
     def pause(self) -> None:
         """Read no more of the answer for now: nobody takes it."""
         if self.open and self.connection is not None:
@@ -131,6 +153,10 @@
         A value longer than is gathered sets `length` and comes in `pieces`; its answer is then empty.
         """
 
+    def decode_end(self) -> Answer | None:
+        """Take the end of what the server sends; None unless it is the end of a whole answer."""
+        return None
+
     @abstractmethod
     def reusable(self) -> bool:
         """Whether nothing is left over after an answer."""
@@ -147,25 +173,52 @@
         # here, and not once the dial returns: one cancelled in between would leave a connection that nobody
         # knows, and with enough of those the budget is gone
         exchange, self.dialled_for = self.dialled_for, None
-        if exchange is not None and exchange.open:
-            self.begin(exchange)
-        else:
+        if exchange is None or not exchange.may_begin():
             self.pool.keep(self)
+        elif not self.begin(exchange):
+            exchange.finish(Status.CONNECT_FAILED)
 
-    def begin(self, exchange: Exchange) -> None:
-        exchange.connection = self
-        self.exchange = exchange
-        self.written = False
+    def begin(self, exchange: Exchange) -> bool:
+        """Write a request, unless bytes lie there that nobody asked for: then nothing of it is sent.
+
+        The look comes last before the write. What came since the event loop's own would be taken for this
+        request's answer, and a close that came since would lose the request.
+        """
         try:
             data = self.encode(exchange.command, exchange.time_left)
         except Exception:
             # guards the router: what can't be sent costs its connection, and the attempt ends at once
             log.exception("request to %s", self.address)
             self.drop()
-            return
+            exchange.finish(Status.CONNECT_FAILED)
+            return True
+        if self.transport.is_closing() or self.poll.poll(0):
+            self.drop()
+            return False
+        exchange.connection = self
+        self.exchange = exchange
+        self.written = False
         self.transport.write(data)
         # guards against a second effect: `write` returns also when bytes are kept back or the write failed
         self.written = not self.transport.is_closing() and not self.transport.get_write_buffer_size()
+        if not self.written and exchange.receiver is not None:
+            self._write_in_time(exchange, exchange.receiver.latest())
+        return True
+
+    def _write_in_time(self, exchange: Exchange, latest: float) -> None:
+        """Guards against a second effect: a repeat whose last byte comes too late is not dropped any more."""
+        if latest < math.inf:
+            asyncio.get_running_loop().call_later(max(0.0, latest), self._cut_off, exchange)
+
+    def _cut_off(self, exchange: Exchange) -> None:
+        receiver = exchange.receiver
+        if (
+            self.exchange is exchange
+            and not self.written
+            and receiver is not None
+            and not receiver.may_begin()
+        ):
+            self.drop()
 
     def resume_writing(self) -> None:
         self.written = True
@@ -267,6 +320,21 @@
             self.expiry.cancel()
             self.expiry = None
 
+    def eof_received(self) -> None:
+        """The server closes in good order, which ends an answer that gives no length; a reset does not."""
+        exchange = self.exchange
+        if exchange is None or not self.written:
+            return
+        try:
+            answer = self.decode_end()
+        except Exception as e:
+            self._spoilt(exchange, e)
+            return
+        if answer is not None:
+            self.exchange = None
+            self.drop()
+            exchange.finish(*answer)
+
     def connection_lost(self, exc: Exception | None) -> None:
         self.pool.forget(self)
         exchange, self.exchange = self.exchange, None
--- a/myrtlecourse/net/host.py
+++ b/myrtlecourse/net/host.py
@@ -27,6 +27,7 @@
 REMEMBER = 2.0  # seconds at least for which the id of an ended request is not taken again
 LONGEST_FLOW = 60.0  # seconds after its deadline for which a long answer may flow on, however slowly
 MAX_HINT = 12  # digits
+FAILED = b"-ERR failed\r\n"
 log = logging.getLogger(__name__)
 
 
@@ -65,8 +66,12 @@
         self.clock = Clock()
         self.in_service = True  # as operators have it
         self.addressed = True  # the service address is here, where it may move
+        self.last_answer = (
+            math.inf
+        )  # when this process may be killed: by then all that is taken has its answer
         self.router = Router(settings, seed, self.clock.now(), door)
         self.members: dict[str, Member] = {}
+        self.offlined: set[str] = set()  # by operators
         self.requests: dict[str, Taken] = {}
         self.used: set[str] = set()  # ids of ended requests
         self.used_before: set[str] = set()
@@ -103,7 +108,7 @@
             case api.Refuse():
                 self._refuse(action)
             case api.Fail():
-                self._close(action.request, b"-ERR failed\r\n")
+                self._close(action.request, FAILED)
             case api.Cancel():
                 self._cancel(action)
             case api.Close():
@@ -158,6 +163,7 @@
 
     def offline(self, server: str) -> None:
         """Nothing new goes to a cache server; what it has ends there."""
+        self.offlined.add(server)
         self.post(api.Offline(server))
         if (member := self.members.get(server)) is not None:
             self._pool(member).leave(member.address)
@@ -166,6 +172,7 @@
         """A cache server is back, cold; nothing kept to it is used again."""
         if (member := self.members.get(server)) is not None:
             self._pool(member).leave(member.address)
+        self.offlined.discard(server)
         self.post(api.Online(server, since))
 
     def retune(self, settings: api.Settings) -> None:
@@ -193,12 +200,16 @@
 
     # Requests
 
+    def end_by(self, seconds: float) -> None:
+        """Take no request from now on that could be unanswered in so many seconds."""
+        self.last_answer = self.clock.now() + seconds
+
     def turn_away(self, info: bytes, waited: float) -> bytes | None:
         """The refusal of a command that the module does not even want read; `info` as its client sent it.
 
         What can't be made out here is left to the whole look at it.
         """
-        if self.router.door is None and self.router.wanted:
+        if self.router.door is None and self.router.wanted and self.last_answer == math.inf:
             return None
         request_class = tenant = ""
         repeated = keyed = False
@@ -218,6 +229,8 @@
         if request_class not in self.settings.classes:
             return None
         now = self.clock.now()
+        if math.inf > now + time_left > self.last_answer:
+            return busy(0.0)
         pause = self.router.turn_away(now, request_class, tenant, repeated, keyed, time_left, waited)
         return None if pause is None else busy(pause)
 
@@ -314,22 +327,32 @@
             log.error("a send for %s, which is long over", action.request)
             return
         now = self.clock.now()
-        attempt = Attempt(self, taken, now)
+        attempt = Attempt(self, taken, now, action.server, action.within)
         taken.sent += 1
         taken.attempts[attempt.number] = attempt
         over = taken.closed or taken.overdue or attempt.number >= taken.settings.max_attempts
         member = self.members.get(action.server)
-        if over or member is None:
-            self.finish(taken, attempt, api.Status.MOOT if over else api.Status.CONNECT_FAILED)
+        if over or member is None or not taken.reply.there():
+            failed = not over and member is None
+            self.finish(taken, attempt, api.Status.CONNECT_FAILED if failed else api.Status.MOOT)
             return
         time_left = taken.deadline - now
         if action.timeout is not None and action.timeout < time_left:
             time_left = action.timeout
+            attempt.ends_at = now + time_left
             attempt.timer = self.timers.after(time_left, self._time_out, attempt)
         attempt.exchange = self._pool(member).start(
             member.address, taken.command, time_left, attempt.done, member.process, attempt
         )
 
+    def may_begin(self, attempt: Attempt) -> bool:
+        """Whether an attempt that has waited for its connection may still be written."""
+        taken, member = attempt.taken, self.members.get(attempt.server)
+        if taken.closed or taken.overdue or member is None or not member.entry.ready:
+            return False
+        late = taken.sent > 1 and self.clock.now() >= attempt.within  # a first one repeats nothing
+        return not late and attempt.server not in self.offlined and taken.reply.there()
+
     def begin(self, taken: Taken, attempt: Attempt, length: int, source: Exchange) -> bool:
         """A long answer begins to come; the first of a request's is passed on, any other is not wanted."""
         if taken.closed or taken.streaming is not None:
--- a/myrtlecourse/net/listener.py
+++ b/myrtlecourse/net/listener.py
@@ -12,6 +12,7 @@
 from myrtlecourse import interface as api
 from myrtlecourse.net.clients import ClientConnection, Slot
 from myrtlecourse.net.descriptors import Descriptors
+from myrtlecourse.net.hangup import HangUps
 from myrtlecourse.net.host import Host
 from myrtlecourse.net.logs import BoundedLog
 from myrtlecourse.net.window import Room, Windows
@@ -29,6 +30,7 @@
 SWEEP = 0.1  # seconds between looks for connections that are overdue
 NOTICE = 0.5  # seconds for which clients go on coming after an end that the front must notice: 0.2 to 0.4
 BUSY_TIME = 1.5  # seconds after which a router that is emptied takes no command of those that stay, of 2
+SPARE = 8  # closed connections, still read, that hold descriptors beside the budget
 HOLDING_TIME = 10.0  # seconds for which a client may take nothing of a long answer
 log = logging.getLogger(__name__)
 bounded = BoundedLog(log)
@@ -52,6 +54,10 @@
         self.descriptors = descriptors or Descriptors(budget)
         self.descriptors.add(self)
         self.connections: dict[ClientConnection, None] = {}
+        self.lingering: dict[ClientConnection, None] = {}  # of those, closed and still read, longest first
+        self.evicted: set[ClientConnection] = set()  # aborted, whose descriptors are free in a moment
+        self.hang_ups = HangUps()  # of those that are not read
+        self.stopping = False  # this process ends: clients go as soon as nothing is owed to them
         self.coming: set[asyncio.Task[None]] = set()  # accepted, and not yet among those
         # long answers that their clients don't take, each since when, longest first
         self.holding: dict[Slot, float] = {}
@@ -110,6 +116,9 @@
                     client.close()
                     continue
                 client.setblocking(False)
+                # guards small answers: the system held them back until the one before was acknowledged; event
+                # loops see to it only for sockets that name their protocol
+                client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
                 task = loop.create_task(self._welcome(client))
                 self.coming.add(task)
                 task.add_done_callback(self.coming.discard)
@@ -132,6 +141,12 @@
         while self.used() > self.budget or not self.descriptors.settle(self):
             self.changed.clear()
             now = asyncio.get_running_loop().time()
+            if self.evicted:
+                await asyncio.sleep(0)
+                continue
+            if len(self.lingering) > SPARE:
+                self._evict(next(iter(self.lingering)))
+                continue
             erring = (c for c in self.erring if not c.slots and not c.ending)
             # a look at a few: to ask the kernel about each, for each that comes, took a tenth of a full core
             late = (c for c, since in islice(self.awaited.items(), LOOKS) if now - since > GRACE)
@@ -141,15 +156,15 @@
             if victim is None:
                 victim = next((c for c in chain(late, once, idle) if not c.unread()), None)
             if victim is not None:
-                self._end(victim)
+                victim.close()
                 continue
             with suppress(TimeoutError):
                 async with asyncio.timeout(GRACE):
                     await self.changed.wait()
 
     def used(self) -> int:
-        """Descriptors held."""
-        return len(self.connections) + len(self.coming)
+        """Descriptors held, but for those of a few closed connections: the reserve has room for them."""
+        return len(self.connections) + len(self.coming) - min(SPARE, len(self.lingering))
 
     def give_back(self) -> bool:
         """Clients lend what they don't use, and borrow nothing: there is nothing to return."""
@@ -164,25 +179,40 @@
                 if now - since < COMMAND_TIME:
                     break
                 comes = connection.reader.announced and now - connection.came_at < VALUE_PAUSE
-                if not (connection.transport.is_closing() or comes or connection.starved):
+                if not (connection.ending or comes or connection.starved):
                     connection.end_with("-ERR no whole command came")
             for slot, since in list(self.holding.items()):
                 if now - since < HOLDING_TIME:
                     break
                 # guards the server's connection, and the budget, against a client that is not there any more
                 slot.connection.transport.abort()
-            surplus = len(self.connections) - self.budget // 2
+            surplus = len(self.connections) - len(self.lingering) - self.budget // 2
             for connection, since in list(self.idle.items()):
                 if surplus <= 0:
                     break
                 longest = IDLE_TIME if connection.commands > 1 else ONCE_TIME
                 if now - since > longest and not connection.unread():
-                    self._end(connection)
+                    connection.close()
                     surplus -= 1
 
-    def _end(self, connection: ClientConnection) -> None:
+    def _evict(self, connection: ClientConnection) -> None:
+        """Guards new clients: one that was closed some time ago holds a descriptor that they want."""
+        del self.lingering[connection]
+        self.evicted.add(connection)
         connection.transport.abort()
-        self.forget(connection)
+
+    def linger(self, connection: ClientConnection) -> None:
+        """A connection is closed but for what is still read from it."""
+        self._strike_out(connection)
+        self.lingering[connection] = None
+        self.changed.set()
+
+    def leaves(self, connection: ClientConnection) -> bool:
+        """Whether a connection on which nothing is owed any more is closed at once, as this process ends.
+
+        Not over what has come in: that is answered first, if only with a refusal.
+        """
+        return self.stopping and not connection.reader.buffer and not connection.unread()
 
     def hold(self, slot: Slot) -> None:
         """A client takes nothing of a long answer for now, or it waits behind others."""
@@ -193,7 +223,7 @@
         # guards the listener: one that has ended would stay in the books, without a socket to look at
         if connection not in self.connections:
             return
-        owing = bool(connection.slots) or connection.ending or connection.paused
+        owing = bool(connection.slots) or connection.ending or connection.gone or connection.paused
         if owing:
             self.awaited.pop(connection, None)
             self.idle.pop(connection, None)
@@ -209,10 +239,15 @@
     def forget(self, connection: ClientConnection) -> None:
         """Note that a connection is closed."""
         self.connections.pop(connection, None)
+        self.lingering.pop(connection, None)
+        self.evicted.discard(connection)
+        self._strike_out(connection)
+        self.changed.set()
+
+    def _strike_out(self, connection: ClientConnection) -> None:
         self.erring.pop(connection, None)
         self.awaited.pop(connection, None)
         self.idle.pop(connection, None)
-        self.changed.set()
 
     def empty(self, notice: float = NOTICE) -> None:
         """Out of service: clients go as they fall idle. The listener stays, for whoever asks how it is."""
@@ -262,11 +297,14 @@
                 connection.close()
 
     async def stop(self, still_coming: float, longest: float) -> None:
-        """Accept for a while longer, then no more; end when nothing is owed to any client.
+        """Accept for `still_coming` seconds, then no more; end when nothing is owed to any client.
+
+        After `longest` seconds from now at the latest.
 
         A socket that is inherited is left at once to the process that follows, which accepts on it already,
         or will: what waits there is not this one's.
         """
+        began = asyncio.get_running_loop().time()
         if not self.inherited:
             await asyncio.sleep(still_coming)
         for task in self.tasks if self.emptying is None else [*self.tasks, self.emptying]:
@@ -274,11 +312,17 @@
         if self.socket.fileno() >= 0:  # else it has been stopped before
             asyncio.get_running_loop().remove_reader(self.socket.fileno())
         self.socket.close()
+        loop = asyncio.get_running_loop()
+        # guards what clients go on sending on connections that stay open: it would be unanswered when the
+        # process is killed
+        self.stopping = True
+        self.host.end_by(longest - (loop.time() - began))
         with suppress(TimeoutError):
-            async with asyncio.timeout(longest):
+            async with asyncio.timeout(longest - (loop.time() - began)):
                 while self.connections or self.coming:
                     self.changed.clear()
                     self._close_unowed()
                     with suppress(TimeoutError):
                         async with asyncio.timeout(SWEEP):
                             await self.changed.wait()
+        self.hang_ups.close()
--- a/myrtlecourse/net/origin.py
+++ b/myrtlecourse/net/origin.py
@@ -7,15 +7,15 @@
 from myrtlecourse.interface import Status
 from myrtlecourse.net.command import MAX_GATHERED, Command
 from myrtlecourse.net.connection import Answer, Connection, MalformedAnswer
-from myrtlecourse.net.http import HttpClient, HttpError
+from myrtlecourse.net.http import HttpClient, HttpError, Response
 from myrtlecourse.net.pool import Pool
 
 
 class OriginConnection(Connection):
     """A connection to the origin.
 
-    It gives the length of what it sends: a body that only the connection's end would end may be cut short,
-    and counts as broken.
+    It gives the length of what it sends, or ends a short answer by closing in good order. One that ends by a
+    reset may be cut short, and counts as broken.
     """
 
     def __init__(self, pool: Pool, address: str) -> None:
@@ -37,8 +37,16 @@
             self.length = self.client.passing
             self.pieces += self.client.pieces
             self.client.pieces.clear()
-        if response is None:
-            return None
+        return None if response is None else self._answer(response)
+
+    def decode_end(self) -> Answer | None:
+        try:
+            response = self.client.receive(b"")
+        except HttpError:
+            return None  # within a length that was given: the connection's end tells of it
+        return None if response is None else self._answer(response)
+
+    def _answer(self, response: Response) -> Answer:
         if response.status == 200:
             return Status.OK, response.body
         not_started = response.status in (503, 504) and response.headers.get(b"not-started") == b"1"
--- a/myrtlecourse/net/pool.py
+++ b/myrtlecourse/net/pool.py
@@ -72,10 +72,10 @@
         A long answer goes to the receiver; without one it is spoilt.
         """
         exchange = Exchange(command, time_left, done, receiver)
-        kept = self._take(address, process)
-        if kept is not None:
-            kept.begin(exchange)
-        elif self.dialling.get(address, 0) >= MOST_DIALS:
+        while (kept := self._take(address, process)) is not None:
+            if kept.begin(exchange):
+                return exchange
+        if self.dialling.get(address, 0) >= MOST_DIALS:
             # guards a server against a storm of handshakes: a dial or an answer frees a connection soon
             self.waiting.setdefault(address, deque()).append((process, exchange))
         else:
@@ -110,7 +110,7 @@
             process, exchange = queue.popleft()
             if not queue:
                 del self.waiting[address]
-            if exchange.open:
+            if exchange.may_begin():
                 return process, exchange
         return None
 
@@ -138,16 +138,14 @@
                 self.dialled(address)
 
     def _take(self, address: str, process: object) -> Connection | None:
-        """The kept connection idle for longest, if one still stands.
+        """The kept connection idle for longest, if there is one.
 
         Guards against what follows a good answer after a while: on the one used last it would more likely
         come behind the next request, and be taken for its answer.
         """
         while (connection := next(iter(self.idle_at.get(address, ())), None)) is not None:
             self._leave_idle(connection)
-            usable = connection.process == process and not connection.transport.is_closing()
-            # guards against resets: a close that came in since the loop last looked would lose the request
-            if usable and not connection.poll.poll(0):
+            if connection.process == process:
                 return connection
             connection.drop()
         return None
@@ -170,10 +168,11 @@
         """Hold a connection for the next attempt until the server would close it."""
         if self.waiting and (waiting := self._next_waiting(connection.address)) is not None:
             process, exchange = waiting
-            if connection.process == process and not connection.poll.poll(0):
-                connection.begin(exchange)
+            if connection.process == process and connection.begin(exchange):
                 return
             self.waiting.setdefault(connection.address, deque()).appendleft(waiting)
+            if connection.transport.is_closing():
+                return
         connection.idle_since = time.monotonic()
         self.idle[connection] = None
         at = self.idle_at.get(connection.address)
--- a/myrtlecourse/net/servers.py
+++ b/myrtlecourse/net/servers.py
@@ -17,6 +17,7 @@
 BEFORE_TAIL = b"*3\r\n$0\r\n"  # with what stands behind a value, an answer that the reader checks
 HIT = re.compile(rb"\*3\r\n\$([0-9]{1,5})\r\n")
 AFTER_HIT = b"\r\n$3\r\nhit\r\n$-1\r\n"
+BUSY = re.compile(r"BUSY(?: [\w.]+=[\w.]+(?:,[\w.]+=[\w.]+)*)?")  # with a load report, perhaps
 MISS = b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n"
 
 
@@ -86,7 +87,12 @@
         # nothing is asked of the third item: a report that can't be read does not spoil the value
         match reply:
             case ErrorLine(text):
-                return (Status.FULL if text.split(" ")[0] == "BUSY" else Status.ERROR), b""
+                # guards against a second effect: half a line before it, or more behind it, and which of them
+                # answers this request can't be told, nor that it never ran
+                if BUSY.fullmatch(text) is not None and not self.reader.buffer:
+                    return Status.FULL, b""
+                if text.startswith("ERR"):
+                    return Status.ERROR, b""
             case [bytes(value), bytes() | None, _]:
                 return Status.OK, value
             case [None, bytes() | None, _]:
--- a/myrtlecourse/net/taken.py
+++ b/myrtlecourse/net/taken.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Protocol
 
 from myrtlecourse import interface as api
@@ -31,17 +32,34 @@
     def cut(self) -> None:
         """It will never be whole, and the client must be able to tell."""
 
+    def there(self) -> bool:
+        """Whether its client has not hung up, also while it is not read."""
+
 
 class Attempt:
     """One send of a request that has had no outcome yet."""
 
-    __slots__ = ("begun_at", "exchange", "host", "number", "sent_at", "taken", "timer")
+    __slots__ = (
+        "begun_at",
+        "ends_at",
+        "exchange",
+        "host",
+        "number",
+        "sent_at",
+        "server",
+        "taken",
+        "timer",
+        "within",
+    )
 
-    def __init__(self, host: Host, taken: Taken, sent_at: float) -> None:
+    def __init__(self, host: Host, taken: Taken, sent_at: float, server: str, within: float | None) -> None:
         self.host = host
         self.taken = taken
         self.number = taken.sent
         self.sent_at = sent_at
+        self.server = server
+        self.within = math.inf if within is None else within  # by then it is written (the host's clock)
+        self.ends_at = taken.deadline  # its router waits no longer
         self.begun_at = 0.0  # of a long answer
         self.exchange: Exchange | None = None
         self.timer: Timer | None = None
@@ -49,6 +67,15 @@
     def done(self, status: api.Status, value: bytes) -> None:
         self.host.finish(self.taken, self, status, value)
 
+    def may_begin(self) -> bool:
+        return self.host.may_begin(self)
+
+    def time_left(self) -> float:
+        return self.ends_at - self.host.clock.now()
+
+    def latest(self) -> float:
+        return self.within - self.host.clock.now()
+
     def begin(self, length: int, source: Exchange) -> bool:
         return self.host.begin(self.taken, self, length, source)
 
--- a/myrtlecourse/policy/router.py
+++ b/myrtlecourse/policy/router.py
@@ -196,7 +196,10 @@
         held.attempts.append(attempt)
         server.load += 1
         server.evidence.sent(self.now)
-        self.out.append(api.Send(name, server.entry.server))
+        keyed = held.request_class.effect is api.Effect.KEYED
+        self.out.append(
+            api.Send(name, server.entry.server, within=self._repeat_until(held) if keyed else None)
+        )
         self._look_again(held, attempt)
 
     def _look_again(self, held: Held, attempt: Attempt) -> None:
--- a/myrtlecourse/policy/walk.py
+++ b/myrtlecourse/policy/walk.py
@@ -135,10 +135,15 @@
             return True
         if kind.effect is api.Effect.UNSAFE or server is None:
             return kind.effect is api.Effect.KEYED and kind.group is api.Group.ALL
-        if self.now >= min(a.sent_at for a in ran) + kind.window:
+        if self.now >= self._repeat_until(held):
             return False
         return all(kind.group.joins(a.server.entry, server.entry) for a in ran)
 
+    def _repeat_until(self, held: Held) -> float:
+        """By when a keyed request must have arrived again: servers drop its repeat for so long."""
+        sent_at = min((a.sent_at for a in held.attempts if a.may_have_run), default=self.now)
+        return sent_at + held.request_class.window - tuning.ARRIVAL
+
     def _overdue_after(self, server: Server) -> float:
         """Seconds after which an attempt without an answer is more likely lost than late; 0 if unknown.
 
--- a/myrtlecourse/service.py
+++ b/myrtlecourse/service.py
@@ -31,7 +31,9 @@
 from myrtlecourse.ops.store import Store
 from myrtlecourse.overload.core import CoreControl
 
-LONGEST_END = 3.0  # seconds after NOTICE until all deadlines are past; SIGKILL may come 0.2 s later
+KILLED = 0.7  # seconds after SIGTERM and the longest deadline, from which on SIGKILL may come
+LONGEST_END = 3.0  # seconds, of that deadline
+END_MARGIN = 0.1  # seconds before that, by which all has ended
 RESERVE = 32  # descriptors for the loop, the log, the listener, discovery and operators
 SECOND_RESERVE = 16  # the same of another process while two live, which has no more than it needs
 FORMER = 2.0  # seconds for which a dropped class is still taken: commands under way when it was dropped
@@ -127,7 +129,8 @@
         self.ending = True
         if self.beyond is not None:
             await self.beyond.close()
-        await self.listener.stop(NOTICE, LONGEST_END)
+        longest = min(LONGEST_END, self.host.settings.longest_deadline)
+        await self.listener.stop(NOTICE, longest + KILLED - END_MARGIN)
         if watch is not None:
             watch.cancel()
         self.ops.close()
--- a/myrtlecourse/settings.py
+++ b/myrtlecourse/settings.py
@@ -95,6 +95,8 @@
         max_retry_after=number(limits, "maxRetryAfter", 0.0, "limits."),
         connection_price=number(prices, "connection", 0.0, "penalties."),
         handshake_price=number(prices, "handshake", 0.0, "penalties."),
+        longest_deadline=max(number(row, "giveUp", 1.0, "classes.") for row in rows(conf, "classes")),
+        drain_grace=number(rules, "stopSendingWithin", 2.0, "rules."),
         cold_share=number(rules, "coldFrom", 0.3, "rules."),
         ramp=number(rules, "rampTime", 10.0, "rules."),
         fall_multiple=number(rules, "fallMultiple", 2.0, "rules."),
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -142,6 +142,45 @@
         return await self.links.get()
 
 
+class HeldDials:
+    """Holds a router's connections to caches back just before they are made, until they are released."""
+
+    def __init__(self, router: Router) -> None:
+        self.names = {peer.address: name for name, peer in router.caches.items()}
+
+    async def __aenter__(self) -> Self:
+        self.loop: Any = asyncio.get_running_loop()
+        self.make: Any = self.loop.create_connection
+        self.waiting: asyncio.Queue[str] = asyncio.Queue()
+        self.released = asyncio.Event()
+        self._make_with(self._held_back)
+        return self
+
+    async def __aexit__(
+        self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        self.released.set()
+        self._make_with(self.make)
+
+    def _make_with(self, make: Any) -> None:
+        self.loop.create_connection = make
+
+    async def _held_back(self, factory: Callable[[], Any], host: str, port: int, **more: Any) -> Any:
+        name = self.names.get(spelled((host, port)))
+        if name is not None and not self.released.is_set():
+            self.waiting.put_nowait(name)
+            await self.released.wait()
+        return await self.make(factory, host, port, **more)
+
+    async def held(self) -> str:
+        """Wait for the next dial, and say to which cache it is."""
+        return await self.waiting.get()
+
+    def release(self) -> None:
+        """Let all go on, from now on."""
+        self.released.set()
+
+
 def member(name: str, address: str, kind: str = "std", **fields: Any) -> Member:
     return Member(api.ServerEntry(name, kind=kind, weight=1.0, **fields), address)
 
@@ -185,13 +224,17 @@
     async def __aexit__(
         self, kind: type[BaseException] | None, error: BaseException | None, trace: TracebackType | None
     ) -> None:
+        await self.stopped()
+        for peer in (*self.caches.values(), self.origin):
+            await peer.__aexit__(kind, error, trace)
+
+    async def stopped(self) -> None:
+        """End it; may be called before its own end."""
         for connection in list(self.listener.connections):
             connection.transport.abort()
         await self.listener.stop(0.0, 1.0)
         self.servers.close()
         self.origins.close()
-        for peer in (*self.caches.values(), self.origin):
-            await peer.__aexit__(kind, error, trace)
 
     async def client(self) -> Link:
         """A new client's connection."""
--- /dev/null
+++ b/tests/test_net_hangup.py
@@ -0,0 +1,194 @@
+"""Clients that hang up while they are not read, or while their request waits: nothing is sent for them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import replace
+
+import pytest
+
+from myrtlecourse import interface as api
+from myrtlecourse.net import clients
+from tests.loopback import (
+    HIT,
+    MISS,
+    SETTINGS,
+    HeldDials,
+    Link,
+    Router,
+    book,
+    command,
+    http,
+    member,
+    read,
+    run,
+)
+
+CLOSES: list[Callable[[Link], None]] = [Link.close, Link.reset]
+KEPT = replace(SETTINGS, may_cancel=False)  # where attempts may not be cancelled, those not begun still go
+
+
+LONG = "c=read,t=x,d=600000"  # so that nothing but the hang-up ends it
+
+
+async def until(true: Callable[[], bool]) -> None:
+    while not true():
+        await asyncio.sleep(0.001)
+
+
+async def unread(router: Router) -> None:
+    """Wait until the one client is not read any more."""
+    await until(lambda: any(not c.reading for c in router.listener.connections))
+
+
+@pytest.mark.parametrize("close", CLOSES)
+def test_an_unread_client_that_hangs_up_takes_its_attempts_along(
+    close: Callable[[Link], None], monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Its end lay behind unread bytes: what it had asked for went on, and the rest began for nobody."""
+    monkeypatch.setattr(clients, "ERROR_PAUSE", 60.0)
+
+    async def scenario() -> None:
+        async with Router() as router:
+            client = await router.client()
+            asked = [read(f"r{n}", f"k{n}", LONG) for n in range(3)]
+            client.write(b"".join(asked) + command("C.NONE", "k") + read("behind", info=LONG))
+            await unread(router)
+            taken = set(router.host.requests)
+            assert len(taken) == 3
+            close(client)
+            await until(lambda: not router.host.requests and not router.listener.connections)
+            assert not router.host.router.held
+            assert router.host.used == taken
+
+    run(scenario)
+
+
+def test_what_a_client_left_behind_after_an_error_is_not_begun(monkeypatch: pytest.MonkeyPatch) -> None:
+    """It is not read for a while after an error, and was gone when that was over."""
+    monkeypatch.setattr(clients, "ERROR_PAUSE", 0.05)
+
+    async def scenario() -> None:
+        async with Router() as router:
+            client = await router.client()
+            client.write(command("C.NONE", "k") + read("r1", info=LONG))
+            await unread(router)
+            (connection,) = router.listener.connections
+            router.listener.hang_ups.remove(connection)  # the pause is over before the next look
+            client.close()
+            await until(lambda: not router.listener.connections)
+            assert not router.host.used and not router.host.requests
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("settings", [SETTINGS, KEPT])
+def test_a_dial_that_comes_up_for_nobody_sends_nothing(settings: api.Settings) -> None:
+    async def scenario() -> None:
+        async with Router(settings) as router, HeldDials(router) as dials:
+            client = await router.client()
+            client.write(read("r1"))
+            await dials.held()
+            client.close()
+            await until(lambda: not router.listener.connections)
+            dials.release()
+            cache = await router.cache()
+            other = await router.client()
+            other.write(read("r2"))
+            assert (await cache.resp())[2] == b"r2"  # the first that came on it
+            cache.write(HIT)
+            assert await other.resp() == b"value"
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("settings", [SETTINGS, KEPT])
+def test_an_unread_client_is_asked_again_before_its_next_attempt(settings: api.Settings) -> None:
+    """The look comes every so often; an attempt that would begin between two must not."""
+
+    async def scenario() -> None:
+        async with Router(settings) as router:
+            client = await router.client()
+            client.write(command("C.NONE", "k"))
+            assert isinstance(await client.resp(), Exception)
+            await unread(router)
+            (connection,) = router.listener.connections
+            slot = clients.Slot(connection)
+            assert slot.there()
+            client.close()
+            await until(lambda: not slot.there())
+            assert connection.gone and not router.host.requests
+
+    run(scenario)
+
+
+def test_a_fetch_is_not_begun_for_a_client_that_hung_up_in_the_line() -> None:
+    """It waited behind another fetch of its key, which took too long."""
+
+    async def scenario() -> None:
+        async with Router() as router:
+            first, cache = await router.begun("r1")
+            cache.write(MISS)
+            origin = await router.origin.link()
+            await origin.http()
+            second = await router.client()
+            second.write(read("r2"))
+            cache = await router.cache() if len(router.servers.idle) == 0 else cache
+            await cache.resp()
+            cache.write(MISS)
+            held = router.host.router.held
+            await until(lambda: "r2" in held and held["r2"].waiting)
+            second.close()
+            await until(lambda: "r2" not in router.host.requests)
+            origin.write(http("200 OK", b"fetched"))
+            assert await first.resp() == b"fetched"
+            assert router.origin.links.empty()  # and no other connection to it
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("change", ["drained", "offline", "window over"])
+def test_a_late_dial_sends_nothing_that_must_not_go_any_more(change: str) -> None:
+    """After the decision the server began to drain, or its memory of what it would repeat ran out."""
+    window = 0.15
+    keyed = replace(SETTINGS.classes["book"], window=window)
+    settings = replace(SETTINGS, aside=False, classes={**SETTINGS.classes, "book": keyed})
+
+    def tell(router: Router, names: str) -> None:
+        members = [member(n, router.caches[n].address) for n in names]
+        router.host.list_told(api.ListKind.FULL, members)
+
+    async def scenario() -> None:
+        async with Router(settings) as router:
+            tell(router, "ab")
+            client = await router.client()
+            if change == "window over":
+                client.write(book("r1"))
+                cache = await router.cache()
+                assert (await cache.resp())[2] == b"r1"
+            async with HeldDials(router) as dials:
+                if change == "window over":
+                    cache.reset()  # it may have run
+                else:
+                    client.write(read("r1"))
+                dialled = await dials.held()
+                if change == "drained":
+                    tell(router, "ab".replace(dialled, ""))
+                elif change == "offline":
+                    router.host.offline(dialled)
+                else:
+                    await asyncio.sleep(2 * window)
+                dials.release()
+                late = await router.caches[dialled].link()
+                if change == "window over":
+                    assert str(await client.resp()).startswith("BUSY")  # as all drop its repeat
+                else:
+                    other = await router.caches["ab".replace(dialled, "")].link()
+                    assert (await other.resp())[2] == b"r1"
+                    other.write(HIT)
+                    assert await client.resp() == b"value"
+            await router.stopped()
+            assert await late.reader.read() == b""  # not a byte ever came on it
+
+    run(scenario)
