--- a/myrtlecourse/fleet/switch.py
+++ b/myrtlecourse/fleet/switch.py
@@ -14,7 +14,8 @@
 import time
 from contextlib import suppress
 
-from myrtlecourse.fleet.ways import PORTS, Relays, Ways
+from myrtlecourse.fleet.ports import PORTS
+from myrtlecourse.fleet.ways import Relays, Ways
 
 LONGEST_LINE = 256
 CHUNK = 64 * 1024
