Ask the kernel for a hang-up before what begins late, also while the client is read

Read off the code: a hang-up of a client that is read is told at the event loop's next look, and turns of a full core are long. What begins 50 ms after its command came (a retry, a fetch after a miss) asks the kernel first; a first attempt in time asks nothing. Its test fails without the look.

--- a/myrtlecourse/net/clients.py
+++ b/myrtlecourse/net/clients.py
@@ -29,6 +29,7 @@
 LINGER = 0.5  # seconds for which a closed connection is still read, so that its last answer arrives
 DISCARDED = 256 * 1024  # bytes read in that time at the most: a bad client would send on at full speed
 ERROR_PAUSE = 0.1  # seconds for which a connection is not read after an error
+FRESH = 0.05  # seconds after which a hang-up may lie in the socket though it is read: turns can be long
 LAST_DATA_RECEIVED = 52  # the offset in tcp_info of a 32-bit number of milliseconds
 log = logging.getLogger(__name__)
 
@@ -45,10 +46,11 @@
 class Slot:
     """A command's place in the order of answers."""
 
-    __slots__ = ("answer", "connection", "flows", "pieces", "request", "reserved", "source")
+    __slots__ = ("answer", "came_at", "connection", "flows", "pieces", "request", "reserved", "source")
 
     def __init__(self, connection: ClientConnection) -> None:
         self.connection = connection
+        self.came_at = connection.listener.loop.time() - connection.waited
         self.request: str | None = None
         self.answer: bytes | None = None
         self.source: Exchange | None = None  # of a long answer
@@ -110,7 +112,8 @@
 
     def there(self) -> bool:
         """Whether the client still waits; asked just before an attempt begins."""
-        return self.connection.there()
+        connection = self.connection
+        return connection.there(connection.listener.loop.time() - self.came_at < FRESH)
 
     def over(self) -> None:
         """Nothing more comes for it; gives back what it held. May be called again."""
@@ -344,9 +347,12 @@
         if not self.half_closed:
             self.listener.loop.call_later(LINGER, self.transport.abort)
 
-    def there(self) -> bool:
-        """Whether the client has not hung up, also while it is not read."""
-        if not self.gone and not self.reading and has_hung_up(self.descriptor):
+    def there(self, fresh: bool = True) -> bool:
+        """Whether the client has not hung up; the kernel is asked while unread, and once time has passed.
+
+        The event loop tells of an end at its next look only.
+        """
+        if not self.gone and not (fresh and self.reading) and has_hung_up(self.descriptor):
             self.hung_up()
         return not self.gone
 
--- a/tests/test_net_hangup.py
+++ b/tests/test_net_hangup.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -123,6 +124,28 @@
     run(scenario)
 
 
+@pytest.mark.parametrize("settings", [SETTINGS, KEPT])
+def test_a_hang_up_is_seen_before_the_event_loop_looks(
+    settings: api.Settings, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """In a long turn a retry began for a client whose end lay in its socket."""
+    monkeypatch.setattr(clients, "FRESH", 0.0)
+
+    async def scenario() -> None:
+        async with Router(settings) as router:
+            client, _ = await router.begun(info=LONG)
+            (connection,) = router.listener.connections
+            (slot,) = connection.slots
+            assert slot.there() and connection.reading
+            end = client.writer.get_extra_info("socket")
+            end.shutdown(socket.SHUT_RDWR)
+            assert not slot.there()  # in this very turn
+            await until(lambda: not router.listener.connections)
+            assert not router.host.router.held
+
+    run(scenario)
+
+
 def test_a_fetch_is_not_begun_for_a_client_that_hung_up_in_the_line() -> None:
     """It waited behind another fetch of its key, which took too long."""
 
