--- a/myrtlecourse/net/clients.py
+++ b/myrtlecourse/net/clients.py
@@ -255,14 +255,13 @@
             if refusal is not None and not self.slots and self.reading and not self.ending:
                 self._reserve_no_more()
                 self.transport.write(refusal)
-                if self.listener.stopping:
+                if self.listener.leaves(self):
                     self.close()
                 return
         slot = Slot(self)
         slot.reserved, self.reserved = self.reserved, 0
         self.slots.append(slot)
         if refusal is not None:
-            self.ending = self.ending or self.listener.stopping
             slot.fill(refusal)
             return
         if isinstance(parts, list) and len(parts) == 1 and parts[0] in (b"PING", b"ping"):
--- a/tests/test_net_lingering.py
+++ b/tests/test_net_lingering.py
@@ -263,13 +263,16 @@
             client, cache = await router.begun("r1", "c=read,t=x,d=900")
             stopping = asyncio.create_task(router.listener.stop(0.0, 1.0))
             await until(lambda: router.listener.stopping)
-            client.write(read("short", info="c=read,t=x,d=300") + read("late", info="c=read,t=x,d=2000"))
+            late = "c=read,t=x,d=2000"
+            client.write(
+                read("short", info="c=read,t=x,d=300") + read("l1", info=late) + read("l2", info=late)
+            )
             other = await router.cache()
             assert (await other.resp())[2] == b"short"
             other.write(HIT)
             cache.write(HIT)
             began = time.monotonic()
-            assert [str(await client.resp()) for _ in range(3)] == ["b'value'", "b'value'", "BUSY"]
+            assert [str(await client.resp()) for _ in range(4)] == ["b'value'", "b'value'", "BUSY", "BUSY"]
             assert await client.reader.read() == b""
             client.close()
             await stopping
