--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -96,16 +96,22 @@
     assert primaries(d, "b") == before
 
 
-def test_a_cold_server_has_its_warm_up_share_of_keys_at_every_router() -> None:
-    """Budgets of each router, always letting one through, added up to an overload at hundreds of them."""
+@pytest.mark.parametrize(("multiple", "room"), [(8.0, 1.0), (4.0, 1.0), (2.0, 0.5)])
+def test_a_cold_server_has_its_warm_up_share_of_keys_at_every_router(multiple: float, room: float) -> None:
+    """Budgets of each router, always letting one through, added up to an overload at hundreds of them.
+
+    Where it bears less than four times what it can do, it gets less in proportion until it is warm.
+    """
     shares = []
     for age in (0.0, 5.0, 10.0):
-        d = Driver(settings(ramp=10.0, cold_share=0.3))
+        d = Driver(settings(ramp=10.0, cold_share=0.3, fall_multiple=multiple))
         d.list(*(entry(f"s{i}") for i in range(9)), entry("cold", since=d.now))
         d.now += age
         shares.append(primaries(d, "r").count("cold") / 2000 * 10)
+        warm = 1.0 if age == 10.0 else room * (0.3 + 0.7 * age / 10.0)
+        assert d.router._warm_share(d.router.servers["cold"]) == pytest.approx(warm)
     assert shares == sorted(shares)
-    assert shares == pytest.approx([0.3, 0.65, 1.0], abs=0.2)
+    assert shares == pytest.approx([0.3 * room, 0.65 * room, 1.0], abs=0.2)
 
 
 def test_weights_show_in_the_keys() -> None:
@@ -200,7 +206,7 @@
 
 def test_a_cold_server_gets_less_while_answers_fail() -> None:
     """In an overload clients retried all that failed, and the multiple pushed over servers just started."""
-    d = Driver(settings(cold_share=0.3, max_attempts=1))
+    d = Driver(settings(cold_share=0.3, max_attempts=1, fall_multiple=4.0))
     d.list(*(entry(n) for n in "abc"), entry("d", since=d.now))
     assert primaries(d, "a").count("d") > 80
     cold = d.router.servers["d"]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -498,7 +498,7 @@
 
 def test_a_start_in_the_future_counts_as_one_now() -> None:
     """A clock an hour ahead would have kept its server at a cold one's share for an hour."""
-    d = Driver(settings())
+    d = Driver(settings(fall_multiple=4.0))
     actions = d.list(entry("a", since=d.now + 3600), entry("b"))
     assert api.Log("list: servers that start in the future, taken as started now: 1") in actions
     server = d.router.servers["a"]
