Take a refusal of the origin for proof only with nothing behind it

Need: a late second answer before the right one could look like proof that a request never ran, as -BUSY could. Found by reading the same path for HTTP; the new test fails without it.

--- a/myrtlecourse/net/origin.py
+++ b/myrtlecourse/net/origin.py
@@ -49,7 +49,10 @@
     def _answer(self, response: Response) -> Answer:
         if response.status == 200:
             return Status.OK, response.body
-        not_started = response.status in (503, 504) and response.headers.get(b"not-started") == b"1"
+        # guards against a second effect: with more behind it, which of the two answers this can't be told
+        not_started = (
+            self.reusable() and response.status in (503, 504) and response.headers.get(b"not-started") == b"1"
+        )
         return (Status.FULL if not_started else Status.ERROR), b""
 
     def reusable(self) -> bool:
--- a/tests/test_net_pool.py
+++ b/tests/test_net_pool.py
@@ -646,3 +646,18 @@
             assert await link.ended() and not ends.pool.idle
 
     run(scenario)
+
+
+@pytest.mark.parametrize("behind", [b"", http("200 OK", b"receipt"), b"HTTP"])
+def test_a_refusal_of_the_origin_with_more_behind_it_proves_nothing(behind: bytes) -> None:
+    """A second answer that came late stood before the one to this request, and looked like proof."""
+
+    async def scenario() -> None:
+        async with Peer() as peer:
+            ends = Ends(Pool(OriginConnection, 8, 1.0, 60.0))
+            link, *_ = await asked(peer, ends)
+            link.write(http("503 Busy", b"", "Not-Started: 1") + behind)
+            assert (await ends.end())[0] is (Status.ERROR if behind else Status.FULL)
+            ends.pool.close()
+
+    run(scenario)
