--- a/myrtlecourse/net/http.py
+++ b/myrtlecourse/net/http.py
@@ -199,9 +199,13 @@
         except h11.RemoteProtocolError as e:
             raise HttpError(str(e)) from e
 
+    def more_came(self) -> bool:
+        """Whether bytes came behind the response."""
+        return self.extra if self.plain is not None else bool(self.connection.trailing_data[0])
+
     def reusable(self) -> bool:
         """Whether another request may follow."""
         if self.plain is not None:
-            return not self.extra and not self.left
+            return not self.more_came() and not self.left
         ended = self.connection.our_state is self.connection.their_state is h11.DONE
-        return ended and not self.connection.trailing_data[0]
+        return ended and not self.more_came()
--- a/myrtlecourse/net/origin.py
+++ b/myrtlecourse/net/origin.py
@@ -51,7 +51,9 @@
             return Status.OK, response.body
         # guards against a second effect: with more behind it, which of the two answers this can't be told
         not_started = (
-            self.reusable() and response.status in (503, 504) and response.headers.get(b"not-started") == b"1"
+            not self.client.more_came()
+            and response.status in (503, 504)
+            and response.headers.get(b"not-started") == b"1"
         )
         return (Status.FULL if not_started else Status.ERROR), b""
 
--- a/tests/test_net_pool.py
+++ b/tests/test_net_pool.py
@@ -377,6 +377,7 @@
         (http("200 OK", b"v", "Server-Load: \x00\x01\x7f", "server-load: a\nb"), Status.OK, b"v"),
         (http("500 Error"), Status.ERROR, b""),
         (http("503 Busy", b"", "Not-Started: 1"), Status.FULL, b""),
+        (http("503 Busy", b"", "Not-Started: 1", "Connection: close"), Status.FULL, b""),
         (http("504 Late", b"", "Not-Started: 1"), Status.FULL, b""),
         (http("503 Busy"), Status.ERROR, b""),
         (http("500 Error", b"", "Not-Started: 1"), Status.ERROR, b""),
