--- a/myrtlecourse/net/host.py
+++ b/myrtlecourse/net/host.py
@@ -66,9 +66,7 @@
         self.clock = Clock()
         self.in_service = True  # as operators have it
         self.addressed = True  # the service address is here, where it may move
-        self.last_answer = (
-            math.inf
-        )  # when this process may be killed: by then all that is taken has its answer
+        self.last_answer = math.inf  # by then all that is taken has its answer, as this process ends
         self.router = Router(settings, seed, self.clock.now(), door)
         self.members: dict[str, Member] = {}
         self.offlined: set[str] = set()  # by operators
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -55,6 +55,12 @@
     assert not faults, faults
 
 
+async def until(true: Callable[[], bool]) -> None:
+    """Wait for what other turns of the event loop bring about."""
+    while not true():
+        await asyncio.sleep(0.001)
+
+
 def spelled(address: tuple[str, int]) -> str:
     return f"{address[0]}:{address[1]}"
 
--- a/tests/test_net_hangup.py
+++ b/tests/test_net_hangup.py
@@ -24,6 +24,7 @@
     member,
     read,
     run,
+    until,
 )
 
 CLOSES: list[Callable[[Link], None]] = [Link.close, Link.reset]
@@ -33,11 +34,6 @@
 LONG = "c=read,t=x,d=600000"  # so that nothing but the hang-up ends it
 
 
-async def until(true: Callable[[], bool]) -> None:
-    while not true():
-        await asyncio.sleep(0.001)
-
-
 async def unread(router: Router) -> None:
     """Wait until the one client is not read any more."""
     await until(lambda: any(not c.reading for c in router.listener.connections))
--- a/tests/test_net_lingering.py
+++ b/tests/test_net_lingering.py
@@ -14,7 +14,7 @@
 from myrtlecourse.net.clients import ClientConnection
 from myrtlecourse.net.connection import readable
 from myrtlecourse.net.transport import Transport
-from tests.loopback import HIT, Router, book, command, needs_sources, read, run
+from tests.loopback import HIT, Router, book, command, needs_sources, read, run, until
 
 BEGUN = b"*3\r\n$200000\r\n" + b"v" * 150_000  # and no more of it
 VALUE = b"$5\r\nvalue\r\n"
@@ -55,11 +55,6 @@
         return connection
 
 
-async def until(true: Callable[[], bool]) -> None:
-    while not true():
-        await asyncio.sleep(0.001)
-
-
 async def evicted(router: Router) -> None:
     await router.client()
 
