--- /dev/null
+++ b/tests/test_large_lists.py
@@ -0,0 +1,220 @@
+"""Lists of thousands of cache servers that change under load: no request waits for them (issue 48).
+
+A real router, on a share of a core that is dealt out by signals, before silent cache servers: each request
+ends at its deadline or not at all. Discovery tells of changes to hundreds of servers, one after another.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import sys
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+
+from myrtlecourse.net.pool import address_of
+from tests.loopback import Link, Peer, http, read, run
+from tests.test_main import GOOD
+from tests.test_net_discovery import LINE
+from tests.test_wirehost import CONF
+
+LISTED = 3200  # cache servers: sixteen times the usual fleet
+ADDRESSES = 8  # at which all of them listen
+CHANGED = 400  # servers that each change replaces
+CHANGES = 6
+PAUSE = 0.7  # seconds between changes
+DEADLINE = 0.6  # seconds that a client waits
+EVERY = 0.02  # seconds between requests
+SHARE = 0.3  # of a core that the router gets
+CYCLE = 0.02  # seconds in which it gets it
+LOST = 0.5  # seconds after its deadline at which an unanswered request is lost (the standing test)
+SLACK = 0.15  # seconds that a server may be told over what is left to the client (the same)
+PATIENCE = 60.0
+pytestmark = pytest.mark.processes
+
+
+@dataclass
+class Asked:
+    """One request, by the client's clock and the servers'."""
+
+    sent_at: float
+    answered_at: float | None = None
+    told: list[float] = field(default_factory=list)  # when servers would stop waiting
+
+
+class LargeFleet:
+    """Silent cache servers under thousands of names, discovery, and the clients' record."""
+
+    def __init__(self) -> None:
+        self.peers = [Peer() for _ in range(ADDRESSES)]
+        self.discovery = Peer()
+        self.asked: dict[str, Asked] = {}
+        self.index = 1
+        self.changes: list[bytes] = []  # that discovery has told, the latest last
+        self.changed = asyncio.Event()
+        self.names = [f"s-{n:04}" for n in range(LISTED)]
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.rested: list[Link] = []  # clients' connections on which nothing is owed
+
+    def start(self, work: Any) -> None:
+        task = asyncio.ensure_future(work)
+        self.tasks.add(task)
+
+    def line(self, name: str, status: str = "in_service", since_ms: int = 0) -> dict[str, Any]:
+        address = self.peers[int(name.rpartition("-")[2]) % ADDRESSES].address
+        told = {"name": name, "address": address, "type": "std", "status": status, "since_ms": since_ms}
+        return {**LINE, **told, "weight": 1.0 + 0.1 * (int(name[-4:]) % 7)}
+
+    def whole(self) -> dict[str, Any]:
+        return {"index": self.index, "snapshot": True, "endpoints": [self.line(n) for n in self.names]}
+
+    def replace(self, number: int) -> None:
+        """A change: some servers leave the list, and as many new ones join it."""
+        ends = [self.names.pop(0) for _ in range(CHANGED)]
+        joins = [f"n{number}-{n:04}" for n in range(CHANGED)]
+        self.names += joins
+        self.index += 1
+        lines = [self.line(n, "terminated") for n in ends] + [self.line(n) for n in joins]
+        change = {"index": self.index, "snapshot": False, "endpoints": lines}
+        self.changes.append(http("200 OK", orjson.dumps(change)))
+        self.changed.set()
+
+    async def serve_discovery(self) -> None:
+        while True:
+            self.start(self._tell(await self.discovery.link()))
+
+    async def _tell(self, link: Link) -> None:
+        with suppress(asyncio.IncompleteReadError, ConnectionError):
+            target = (await link.http())[0]
+            if "after=" not in target:
+                link.write(http("200 OK", orjson.dumps(self.whole())))
+                return
+            known = int(target.partition("after=")[2].partition("&")[0])
+            while known >= self.index:
+                self.changed.clear()
+                await self.changed.wait()
+            link.write(self.changes[known - 1])
+
+    async def serve_silently(self, peer: Peer) -> None:
+        while True:
+            self.start(self._note(await peer.link()))
+
+    async def _note(self, link: Link) -> None:
+        """Note what each request tells of its deadline, and never answer."""
+        with suppress(AssertionError, ConnectionError):
+            while True:
+                parts = await link.resp()
+                told = int(parts[3].partition(b"d=")[2].partition(b",")[0]) / 1000
+                self.asked[parts[2].decode()].told.append(time.monotonic() + told)
+
+    async def ask(self, address: tuple[str, int], name: str) -> None:
+        """One request, on a connection that has carried others if there is one."""
+        link = self.rested.pop() if self.rested else Link(*await asyncio.open_connection(*address))
+        asked = self.asked[name] = Asked(time.monotonic())
+        link.write(read(name, f"key-{name}", f"c=read,t=x,d={DEADLINE * 1000:.0f}"))
+        with suppress(TimeoutError, AssertionError, ConnectionError):
+            async with asyncio.timeout(DEADLINE + 4 * LOST):
+                await link.resp()
+                asked.answered_at = time.monotonic()
+                self.rested.append(link)
+                return
+        link.close()
+
+
+async def deal_out(pid: int) -> None:
+    """Let a process run for its share of each cycle."""
+    with suppress(ProcessLookupError):
+        while True:
+            os.kill(pid, signal.SIGSTOP)
+            await asyncio.sleep(CYCLE * (1 - SHARE))
+            os.kill(pid, signal.SIGCONT)
+            await asyncio.sleep(CYCLE * SHARE)
+
+
+@asynccontextmanager
+async def started(fleet: LargeFleet, folder: Path) -> AsyncIterator[tuple[int, tuple[str, int]]]:
+    """A router with the whole list; gives its process id and its address."""
+    path, log = folder / "config.json", folder / "router.log"
+    rules = {**CONF["rules"], "stopSendingWithin": 2.0}
+    settings = {**CONF, "rules": rules, "siblings": 200}
+    config = {
+        **GOOD,
+        "listen": "127.0.0.1:0",
+        "discovery": fleet.discovery.address,
+        "settings": settings,
+        "known": fleet.whole(),
+    }
+    path.write_bytes(orjson.dumps(config))
+    with log.open("wb") as out:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "myrtlecourse",
+            env={**os.environ, "RELAY_CONFIG": str(path)},
+            stdout=out,
+            stderr=out,
+        )
+    try:
+        while b"listening on " not in (text := log.read_bytes()):
+            assert process.returncode is None, text.decode()[-2000:]
+            await asyncio.sleep(0.02)
+        yield process.pid, address_of(text.split(b"listening on ")[1].split()[0].decode())
+    finally:
+        with suppress(ProcessLookupError):
+            os.kill(process.pid, signal.SIGCONT)
+            process.kill()
+        await process.wait()
+
+
+async def play(fleet: LargeFleet, folder: Path) -> None:
+    """Ask evenly while the list changes; ends when nothing is owed any more."""
+    async with started(fleet, folder) as (pid, address):
+        await asyncio.sleep(PAUSE)
+        throttle = asyncio.create_task(deal_out(pid))
+        began, asking, count = time.monotonic(), set(), 0
+        for number in range(CHANGES):
+            while time.monotonic() < began + (number + 1) * PAUSE:
+                asking.add(asyncio.create_task(fleet.ask(address, f"r{count:06}")))
+                count += 1
+                await asyncio.sleep(EVERY)
+            fleet.replace(number)
+        for _ in range(round(2 * PAUSE / EVERY)):
+            asking.add(asyncio.create_task(fleet.ask(address, f"r{count:06}")))
+            count += 1
+            await asyncio.sleep(EVERY)
+        await asyncio.gather(*asking)
+        throttle.cancel()
+
+
+def test_changes_of_a_large_list_lose_no_request(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        fleet = LargeFleet()
+        async with fleet.discovery:
+            for peer in fleet.peers:
+                await peer.__aenter__()
+                fleet.start(fleet.serve_silently(peer))
+            fleet.start(fleet.serve_discovery())
+            await play(fleet, tmp_path)
+            for task in fleet.tasks:
+                task.cancel()
+            for peer in fleet.peers:
+                await peer.__aexit__(None, None, None)
+        late = {
+            name: (asked.answered_at or time.monotonic()) - asked.sent_at - DEADLINE
+            for name, asked in fleet.asked.items()
+        }
+        over = [told - asked.sent_at - DEADLINE for asked in fleet.asked.values() for told in asked.told]
+        summary = f"latest answer {max(late.values()):.3f} s late, deadline told {max(over):.3f} s too long"
+        print(f"{len(late)} requests, {len(over)} attempts: {summary}")
+        assert len(over) >= len(late) / 2, "most requests reach a server"
+        assert max(late.values()) < LOST and max(over) < SLACK, summary
+
+    run(scenario, patience=PATIENCE)
