Log what becomes of each request, with reasons for every close, retry and refusal

Need: the incident's logs could not say how long a request lay unread, why it ended, nor how long a list took. MYRTLECOURSE_LOG=requests turns on a line for each step of a request by its id; the decision module gives a reason with each attempt and final answer, and each close of a connection has one. Off, it costs a look at a flag. A final answer over 0.1 s late is logged in any case.

--- a/myrtlecourse/interface.py
+++ b/myrtlecourse/interface.py
@@ -80,6 +80,23 @@
     SILENT = "silent"  # nothing came, where an answer is long due
 
 
+class Reason(Enum):
+    """Why an attempt begins, or a request ends without an answer of a server's; for logs alone."""
+
+    FIRST = "first"
+    RETRY = "retry"
+    HEDGE = "hedge"  # beside one that is more likely lost than late
+    STORED = "stored"  # by the fetch that it followed
+    ORIGIN = "origin"  # a place there is free
+    NO_SERVER = "no-server"  # that may take it
+    NO_TIME = "no-time"  # left for an attempt
+    CROWDED = "crowded"  # it would wait too long
+    NO_REPEAT = "no-repeat"  # is permitted
+    NO_PLACE = "no-place"  # at the origin in time
+    ZONE_LEFT = "zone-left"  # whose requests the others don't bear
+    UNKNOWN = ""
+
+
 NEVER_RAN = (Status.FULL, Status.CONNECT_FAILED, Status.MOOT, Status.MISS)  # proven by the outcome itself
 
 
@@ -353,14 +370,21 @@
     server: str
     timeout: float | None  # None: until the client gives up
     within: float | None  # None: whenever there is a connection
+    reason: Reason = field(compare=False)
 
     def __init__(
-        self, request: str, server: str, timeout: float | None = None, within: float | None = None
+        self,
+        request: str,
+        server: str,
+        timeout: float | None = None,
+        within: float | None = None,
+        reason: Reason = Reason.UNKNOWN,
     ) -> None:
         self.request = request
         self.server = server
         self.timeout = timeout
         self.within = within
+        self.reason = reason
 
 
 @dataclass(slots=True, unsafe_hash=True, init=False)
@@ -369,10 +393,12 @@
 
     request: str
     come_back: float  # how long the client should wait before that; 0 is no advice
+    reason: Reason = field(compare=False)
 
-    def __init__(self, request: str, come_back: float = 0.0) -> None:
+    def __init__(self, request: str, come_back: float = 0.0, reason: Reason = Reason.UNKNOWN) -> None:
         self.request = request
         self.come_back = come_back
+        self.reason = reason
 
 
 @dataclass(slots=True, unsafe_hash=True, init=False)
@@ -380,9 +406,11 @@
     """Final answer that promises nothing."""
 
     request: str
+    reason: Reason = field(compare=False)
 
-    def __init__(self, request: str) -> None:
+    def __init__(self, request: str, reason: Reason = Reason.UNKNOWN) -> None:
         self.request = request
+        self.reason = reason
 
 
 @dataclass(slots=True, unsafe_hash=True, init=False)
--- a/myrtlecourse/net/clients.py
+++ b/myrtlecourse/net/clients.py
@@ -13,6 +13,7 @@
 from myrtlecourse.net.connection import Exchange, readable
 from myrtlecourse.net.hangup import has_hung_up
 from myrtlecourse.net.host import FAILED, Host, busy
+from myrtlecourse.net.request_log import Close, requests_log
 from myrtlecourse.net.resp import NOT_YET, Message, Reader, RespError, split_command
 from myrtlecourse.net.transport import Transport
 
@@ -107,7 +108,7 @@
             self.pieces.clear()
             connection.answered(self, FAILED)
             return
-        connection.close()
+        connection.close(Close.CUT_ANSWER)
         connection.settle()
 
     def there(self) -> bool:
@@ -161,7 +162,7 @@
             # never executed: nobody could be answered, and its client asks again elsewhere
             self.discarded += len(data)
             if self.discarded > DISCARDED:
-                self.transport.abort()
+                self.abort(Close.UNWANTED_BYTES)
             return
         turns = self.host.turns
         turns.note()
@@ -197,7 +198,7 @@
     def _fault(self) -> None:
         """Guards the router: a fault here ends this connection alone, and its requests are settled."""
         log.exception("connection of a client")
-        self.transport.abort()
+        self.abort(Close.FAULT)
 
     def _take_whole_ones(self) -> None:
         # a closing connection takes nothing more: nobody would hear that its client is gone
@@ -256,7 +257,7 @@
                 self._reserve_no_more()
                 self.transport.write(refusal)
                 if self.listener.leaves(self):
-                    self.close()
+                    self.close(Close.ENDING)
                 return
         slot = Slot(self)
         slot.reserved, self.reserved = self.reserved, 0
@@ -302,7 +303,7 @@
         elif self.writable:
             self.slots[0].go_on()
         if not self.slots and (self.ending or self.listener.leaves(self)):
-            self.close()
+            self.close(Close.AFTER_ERROR if self.ending else Close.ENDING)
         elif not self.reading and not self.ending:
             self.listener.loop.call_soon(self._take_commands)
 
@@ -323,7 +324,12 @@
         self.slots.append(slot)
         self.answered(slot, error.encode("ascii", "replace") + b"\r\n")
 
-    def close(self) -> None:
+    def abort(self, why: Close) -> None:
+        """Close at once."""
+        requests_log.closed("client", self.descriptor, why, len(self.slots))
+        self.transport.abort()
+
+    def close(self, why: Close) -> None:
         """Lingering close: shut down the sending side, read and discard for a while, then close.
 
         Guards the last answer: a close over bytes that came unread resets the connection, and what the client
@@ -331,6 +337,7 @@
         """
         if self.half_closed or self.gone or self.transport.is_closing():
             return
+        requests_log.closed("client", self.descriptor, why, len(self.slots))
         self.ending = self.half_closed = True
         self.reader.buffer.clear()
         self._reserve_no_more()
@@ -358,7 +365,7 @@
     def hung_up(self) -> None:
         """The client has hung up, behind what lies unread."""
         self.settle()
-        self.transport.abort()
+        self.abort(Close.CLIENT_LEFT)
 
     def settle(self) -> None:
         """No answer reaches the client any more: its requests end, and nothing more is sent for them."""
--- a/myrtlecourse/net/connection.py
+++ b/myrtlecourse/net/connection.py
@@ -13,6 +13,7 @@
 from myrtlecourse.interface import Status
 from myrtlecourse.net.command import Command
 from myrtlecourse.net.logs import BoundedLog
+from myrtlecourse.net.request_log import Close, requests_log
 from myrtlecourse.net.transport import Transport
 
 if TYPE_CHECKING:
@@ -116,7 +117,7 @@
             return
         self.open = False
         if self.connection is not None:
-            self.connection.drop()
+            self.connection.drop(Close.ABANDONED)
 
 
 # all connections read into one place: what came is taken out before the next one reads
@@ -189,11 +190,11 @@
         except Exception:
             # guards the router: what can't be sent costs its connection, and the attempt ends at once
             log.exception("request to %s", self.address)
-            self.drop()
+            self.drop(Close.FAULT)
             exchange.finish(Status.CONNECT_FAILED)
             return True
         if self.transport.is_closing() or self.poll.poll(0):
-            self.drop()
+            self.drop(Close.PEER_CLOSED)
             return False
         exchange.connection = self
         self.exchange = exchange
@@ -218,7 +219,7 @@
             and receiver is not None
             and not receiver.may_begin()
         ):
-            self.drop()
+            self.drop(Close.NOT_WRITTEN)
 
     def resume_writing(self) -> None:
         self.written = True
@@ -283,7 +284,7 @@
     def data_received(self, data: bytes) -> None:
         exchange = self.exchange
         if exchange is None:  # bytes that nobody asked for: the next answer could not be told from them
-            self.drop()
+            self.drop(Close.UNWANTED_BYTES)
             return
         try:
             answer = self.decode(data)
@@ -304,7 +305,7 @@
             if self.written and self.reusable() and not self.transport.is_closing():
                 self.pool.keep(self)
             else:
-                self.drop()
+                self.drop(Close.SPOILT)
             exchange.finish(*answer)
 
     def _spoilt(self, exchange: Exchange, fault: Exception) -> None:
@@ -312,7 +313,7 @@
         level = logging.WARNING if isinstance(fault, MalformedAnswer) else logging.ERROR
         bounded.log(level, "answer of %s: %.200r", self.address, fault)
         self.exchange = None
-        self.drop()
+        self.drop(Close.SPOILT)
         exchange.finish(Status.ERROR)
 
     def stop_expiry(self) -> None:
@@ -332,16 +333,18 @@
             return
         if answer is not None:
             self.exchange = None
-            self.drop()
+            self.drop(Close.PEER_CLOSED)
             exchange.finish(*answer)
 
     def connection_lost(self, exc: Exception | None) -> None:
         self.pool.forget(self)
         exchange, self.exchange = self.exchange, None
         if exchange is not None:
+            requests_log.closed("server", self.address, Close.PEER_CLOSED, 1)
             exchange.finish(Status.RESET if self.written else Status.CONNECT_FAILED)
 
-    def drop(self) -> None:
+    def drop(self, why: Close) -> None:
         """Close at once, without sending what is still held back."""
+        requests_log.closed("server", self.address, why, int(self.exchange is not None))
         self.pool.forget(self)
         self.transport.abort()
--- a/myrtlecourse/net/host.py
+++ b/myrtlecourse/net/host.py
@@ -14,8 +14,10 @@
 from myrtlecourse import interface as api
 from myrtlecourse.net.command import Command, CommandError
 from myrtlecourse.net.connection import Exchange
+from myrtlecourse.net.logs import BoundedLog
 from myrtlecourse.net.members import Member
 from myrtlecourse.net.pool import Pool
+from myrtlecourse.net.request_log import requests_log
 from myrtlecourse.net.taken import Attempt, Reply, Taken
 from myrtlecourse.net.timers import Timers
 from myrtlecourse.net.turns import Turns
@@ -28,7 +30,9 @@
 LONGEST_FLOW = 60.0  # seconds after its deadline for which a long answer may flow on, however slowly
 MAX_HINT = 12  # digits
 FAILED = b"-ERR failed\r\n"
+LATE = 0.1  # seconds after its deadline from which on a final answer is worth a line in the log
 log = logging.getLogger(__name__)
+bounded = BoundedLog(log)
 
 
 class Clock:
@@ -77,6 +81,7 @@
         self.over: list[str] = []  # names of requests that may be forgotten
         self.events: deque[api.Event] = deque()
         self.handling = False
+        self.log = requests_log
         self.timers = Timers()
         self.turns = Turns()
 
@@ -106,7 +111,7 @@
             case api.Refuse():
                 self._refuse(action)
             case api.Fail():
-                self._close(action.request, FAILED)
+                self._close(action.request, FAILED, action.reason)
             case api.Cancel():
                 self._cancel(action)
             case api.Close():
@@ -155,7 +160,11 @@
             new = self.members.get(name)
             if new is None or not new.entry.ready or new.process != old.process:
                 self._pool(old).close_idle(old.address)
+        began = self.clock.now()
         self.post(api.ServerList(kind, tuple(m.entry for m in members)))
+        if self.log.on:
+            took, listed = self.clock.now() - began, len(self.members)
+            self.log.event("-", "list", kind=kind, entries=len(members), listed=listed, took=took)
 
     # Operators
 
@@ -252,6 +261,8 @@
         deadline = self.clock.now() + time_left
         taken = self.requests[name] = Taken(name, command, self.settings, deadline, reply)
         taken.expiry = self.timers.after(time_left, self._overdue, name)
+        if self.log.on:
+            self.log.event(name, "taken", request_class=request_class.name, left=time_left, waited=waited)
         hint = command.info.get("h", "")
         request = api.Request(
             name,
@@ -270,6 +281,8 @@
         taken = self.requests.get(name)
         if taken is not None and not taken.closed:
             self._settle(taken, name)
+            if self.log.on:
+                self.log.event(name, "client-gone")
             self.post(api.ClientGone(name))
 
     def _overdue(self, name: str) -> None:
@@ -285,17 +298,27 @@
             if attempt is not flows:
                 self._time_out(attempt)
 
-    def _close(self, name: str, answer: bytes) -> None:
+    def _close(self, name: str, answer: bytes, reason: api.Reason = api.Reason.UNKNOWN) -> None:
         """Give a request its one answer."""
         taken = self.requests.get(name)
         if taken is not None and not taken.closed:
             self._settle(taken, name)
+            self._note_answer(taken, answer, reason)
             if taken.streaming is None:
                 taken.reply.fill(answer)
             else:
                 # guards the client: in the midst of a value an answer would be taken for part of it
                 taken.reply.cut()
 
+    def _note_answer(self, taken: Taken, answer: bytes, reason: api.Reason) -> None:
+        """Log a final answer that comes late and, while requests are logged, any other."""
+        late = self.clock.now() - taken.deadline - DEADLINE_MARGIN
+        if late > LATE and answer[:1] != b"$":
+            bounded.log(logging.WARNING, "final answers late: %s by %.3f s", taken.name, late)
+        if self.log.on:
+            kind = answer[:5].decode("latin-1").strip() if answer[:1] != b"$" else "served"
+            self.log.event(taken.name, "answered", answer=kind, reason=reason, left=-late)
+
     def _settle(self, taken: Taken, name: str) -> None:
         """Nothing is owed any more; kept only for what is still out."""
         taken.closed = True
@@ -315,7 +338,7 @@
 
     def _refuse(self, action: api.Refuse) -> None:
         """A refusal at once, that tells the client when to come back if the module has advice."""
-        self._close(action.request, busy(action.come_back))
+        self._close(action.request, busy(action.come_back), action.reason)
 
     # Attempts
 
@@ -330,6 +353,9 @@
         taken.attempts[attempt.number] = attempt
         over = taken.closed or taken.overdue or attempt.number >= taken.settings.max_attempts
         member = self.members.get(action.server)
+        if self.log.on:
+            told = {"no": attempt.number, "server": action.server, "reason": action.reason}
+            self.log.event(taken.name, "sent", **told, left=taken.deadline - now)
         if over or member is None or not taken.reply.there():
             failed = not over and member is None
             self.finish(taken, attempt, api.Status.CONNECT_FAILED if failed else api.Status.MOOT)
@@ -397,4 +423,6 @@
         # and a client that takes a long answer slowly, in the same way
         ended_at = attempt.begun_at or self.clock.now()
         latency = max(0.0, ended_at - attempt.sent_at - self.turns.waited())
+        if self.log.on:
+            self.log.event(name, "ended", no=attempt.number, status=status, took=ended_at - attempt.sent_at)
         self.post(api.Outcome(name, attempt.number, status, taken.closed, latency))
--- a/myrtlecourse/net/listener.py
+++ b/myrtlecourse/net/listener.py
@@ -15,6 +15,7 @@
 from myrtlecourse.net.hangup import HangUps
 from myrtlecourse.net.host import Host
 from myrtlecourse.net.logs import BoundedLog
+from myrtlecourse.net.request_log import Close
 from myrtlecourse.net.window import Room, Windows
 
 BACKLOG = 512
@@ -156,7 +157,7 @@
             if victim is None:
                 victim = next((c for c in chain(late, once, idle) if not c.unread()), None)
             if victim is not None:
-                victim.close()
+                victim.close(Close.NO_ROOM)
                 continue
             with suppress(TimeoutError):
                 async with asyncio.timeout(GRACE):
@@ -185,21 +186,21 @@
                 if now - since < HOLDING_TIME:
                     break
                 # guards the server's connection, and the budget, against a client that is not there any more
-                slot.connection.transport.abort()
+                slot.connection.abort(Close.TAKES_NOTHING)
             surplus = len(self.connections) - len(self.lingering) - self.budget // 2
             for connection, since in list(self.idle.items()):
                 if surplus <= 0:
                     break
                 longest = IDLE_TIME if connection.commands > 1 else ONCE_TIME
                 if now - since > longest and not connection.unread():
-                    connection.close()
+                    connection.close(Close.IDLE)
                     surplus -= 1
 
     def _evict(self, connection: ClientConnection) -> None:
         """Guards new clients: one that was closed some time ago holds a descriptor that they want."""
         del self.lingering[connection]
         self.evicted.add(connection)
-        connection.transport.abort()
+        connection.abort(Close.LINGERED)
 
     def linger(self, connection: ClientConnection) -> None:
         """A connection is closed but for what is still read from it."""
@@ -294,7 +295,7 @@
         for connection, since in [*self.idle.items(), *self.awaited.items()]:
             new = not connection.commands and now - since < FIRST_TIME
             if not new and not connection.reader.buffer and not connection.unread():
-                connection.close()
+                connection.close(Close.ENDING)
 
     async def stop(self, still_coming: float, longest: float) -> None:
         """Accept for `still_coming` seconds, then no more; end when nothing is owed to any client.
--- a/myrtlecourse/net/pool.py
+++ b/myrtlecourse/net/pool.py
@@ -12,6 +12,7 @@
 from myrtlecourse.net.command import Command
 from myrtlecourse.net.connection import Connection, Exchange, Receiver
 from myrtlecourse.net.descriptors import Descriptors
+from myrtlecourse.net.request_log import Close
 from myrtlecourse.net.window import Windows
 
 IDLE_MARGIN = 0.5  # seconds before the peer may close an idle connection at which it is no longer used
@@ -150,7 +151,7 @@
             self._leave_idle(connection)
             if connection.process == process:
                 return connection
-            connection.drop()
+            connection.drop(Close.OTHER_PROCESS)
         return None
 
     def used(self) -> int:
@@ -160,7 +161,7 @@
     def give_back(self) -> bool:
         """Close the connection that is idle for longest, if any is."""
         for connection in self.idle:
-            connection.drop()
+            connection.drop(Close.NO_ROOM)
             return True
         return False
 
@@ -194,7 +195,7 @@
             if left > 0:
                 self.sweep = asyncio.get_running_loop().call_later(left, self._sweep)
                 return
-            connection.drop()
+            connection.drop(Close.IDLE)
 
     def _leave_idle(self, connection: Connection) -> None:
         if connection in self.idle:
@@ -213,7 +214,7 @@
     def close_idle(self, address: str) -> None:
         """Close the kept connections to one address."""
         for connection in list(self.idle_at.get(address, ())):
-            connection.drop()
+            connection.drop(Close.OTHER_PROCESS)
 
     def close_all_idle(self) -> None:
         """Close all kept connections: what is sent from now on is little."""
@@ -231,6 +232,6 @@
             self.sweep.cancel()
         self.waiting.clear()
         for connection in list(self.connections):
-            connection.drop()
+            connection.drop(Close.ENDING)
         for dial in self.dials:
             dial.cancel()
--- a/myrtlecourse/policy/router.py
+++ b/myrtlecourse/policy/router.py
@@ -187,16 +187,22 @@
         """Send the next attempt, hold the request for one, or end it."""
         to_ring = self.ring.positions and not held.to_origin
         server = self._choose(held) if to_ring else self._origin()
-        if self.now >= held.until or (server is None or not self._permits(held, server)) and held.attempts:
-            self._end(held)
+        if self.now >= held.until:
+            self._end(held, api.Reason.NO_TIME)
+        elif held.attempts and (server is None or not self._permits(held, server)):
+            self._end(held, api.Reason.NO_SERVER if server is None else api.Reason.NO_REPEAT)
         elif not to_ring:
             self._enqueue(held)
-        elif server is None or self._too_late(held, server) or not self._may_move(held):
-            self._end(held)
+        elif server is None:
+            self._end(held, api.Reason.NO_SERVER)
+        elif self._too_late(held, server):
+            self._end(held, api.Reason.CROWDED)
+        elif not self._may_move(held):
+            self._end(held, api.Reason.ZONE_LEFT)
         else:
-            self._send(held, server)
+            self._send(held, server, api.Reason.RETRY if held.attempts else api.Reason.FIRST)
 
-    def _send(self, held: Held, server: Server) -> None:
+    def _send(self, held: Held, server: Server, reason: api.Reason = api.Reason.UNKNOWN) -> None:
         name = held.request.request
         target = tuning.CACHE_TARGET if server.cache else tuning.ORIGIN_TARGET
         attempt = Attempt(server, target * held.request_class.aim, self.now)
@@ -205,9 +211,8 @@
         server.load += 1
         server.evidence.sent(self.now)
         keyed = held.request_class.effect is api.Effect.KEYED
-        self.out.append(
-            api.Send(name, server.entry.server, within=self._repeat_until(held) if keyed else None)
-        )
+        within = self._repeat_until(held) if keyed else None
+        self.out.append(api.Send(name, server.entry.server, within=within, reason=reason))
         self._look_again(held, attempt)
 
     def _look_again(self, held: Held, attempt: Attempt) -> None:
@@ -257,7 +262,7 @@
         if server is None or not room or not self._permits(held, server):
             return False
         self.retries -= 1
-        self._send(held, server)
+        self._send(held, server, api.Reason.HEDGE)
         return True
 
     def _on_timer(self, event: api.TimerFired) -> None:
@@ -274,7 +279,7 @@
         elif held is not None and held.waiting:
             # half a tick of grace: rounding may wake us a hair before
             if self.now >= self._latest_start(held, self._origin()) - self.settings.tick / 2:
-                self._end(held)
+                self._end(held, api.Reason.NO_PLACE)
             else:
                 self._wake_in_time(held)
 
@@ -291,7 +296,7 @@
         elif left < self.settings.connection_idle:
             self.out.append(api.SetTimer(left, "idle:" + server.entry.server))
 
-    def _end(self, held: Held) -> None:
+    def _end(self, held: Held, reason: api.Reason = api.Reason.UNKNOWN) -> None:
         """The final answer: a refusal where the class permits one, else a failure."""
         if held.streaming or held.open_attempts():
             # guards the deadline: it waits for no place any more, and the end of what is out must end it; the
@@ -307,7 +312,8 @@
         if self.leaving is not None:
             wait = max(wait, tuning.LEFT_PAUSE)
         come_back = min(self.settings.max_retry_after, wait)
-        self.out.append(api.Refuse(name, come_back) if self._permits(held, None) else api.Fail(name))
+        refused = self._permits(held, None)
+        self.out.append(api.Refuse(name, come_back, reason) if refused else api.Fail(name, reason))
         self._forget(held)
 
     def _forget(self, held: Held, served: bool = False) -> None:
@@ -413,7 +419,7 @@
             there = next((s for s in stored if s.load < s.limit and self.now >= s.out_until), None)
             spare = len(held.attempts) + 2 <= held.settings.max_attempts  # it may miss there once more
             if served and there is not None and spare and self._permits(held, there):
-                self._send(held, there)
+                self._send(held, there, api.Reason.STORED)
             else:
                 self._advance(held)
 
@@ -432,9 +438,9 @@
             # no fetch that can't be back in time, but for one to learn by
             in_time = self.now < (self._latest_start(held, origin) if origin.load else held.until)
             if in_time and self._permits(held, origin):
-                self._send(held, origin)
+                self._send(held, origin, api.Reason.ORIGIN)
             else:
-                self._end(held)
+                self._end(held, api.Reason.NO_PLACE)
         if not line.sweep_due(self.now, self.settings.tick):
             return
         # guards clients against waiting on for what can't be served any more: they may still ask again
@@ -442,5 +448,5 @@
         late = [q[-1] for q in line.queue if q[-1].waiting and self.now >= self._latest_start(q[-1], origin)]
         for held in late:
             if held.waiting:  # not ended meanwhile, with one whose fetch it followed
-                self._end(held)
+                self._end(held, api.Reason.NO_PLACE)
         line.compact()
--- /dev/null
+++ b/tests/test_request_log.py
@@ -0,0 +1,80 @@
+"""The log of requests: one id can be followed from its arrival to its answer, with reasons."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import re
+
+import pytest
+
+from myrtlecourse.net.request_log import Close, requests_log
+from tests.loopback import HIT, MISS, Router, http, read, run, until
+
+
+@pytest.fixture
+def lines(caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch) -> pytest.LogCaptureFixture:
+    monkeypatch.setattr(requests_log, "on", True)
+    caplog.set_level(logging.INFO, "myrtlecourse.requests")
+    return caplog
+
+
+def told(lines: pytest.LogCaptureFixture, request: str) -> list[str]:
+    """What is told of a request, in its order: events, each with its reason or status."""
+    found = []
+    for record in lines.records:
+        line = record.getMessage()
+        if line.startswith(f"id={request} "):
+            event = re.search(r"event=(\S+)", line)
+            why = re.search(r"(?:reason|status)=(\S+)", line)
+            assert event is not None
+            found.append(event[1] + (f" {why[1]}" if why is not None else ""))
+    return found
+
+
+def test_a_miss_is_followed_from_its_arrival_to_its_answer(lines: pytest.LogCaptureFixture) -> None:
+    async def scenario() -> None:
+        async with Router() as router:
+            client, cache = await router.begun()
+            cache.write(MISS)
+            origin = await router.origin.link()
+            await origin.http()
+            origin.write(http("200 OK", b"value"))
+            assert await client.resp() == b"value"
+
+    run(scenario)
+    assert told(lines, "r1") == ["taken", "sent first", "ended miss", "sent origin", "answered", "ended ok"]
+
+
+def test_refusals_and_closes_tell_why(lines: pytest.LogCaptureFixture) -> None:
+    async def scenario() -> None:
+        async with Router() as router:
+            client, cache = await router.begun(info="c=read,t=x,d=150")
+            await client.resp()
+            client.write(read("r2", info="c=read,t=x,d=0"))
+            await client.resp()
+            gone, other = await router.begun("r3")
+            gone.reset()
+            await until(lambda: "r3" not in router.host.requests)
+            other.write(HIT)
+            await asyncio.sleep(0)
+
+    run(scenario)
+    assert "ended timeout" in told(lines, "r1")
+    assert told(lines, "r2")[-1] == "answered no-time"
+    assert "client-gone" in told(lines, "r3")
+    closes = [r.getMessage() for r in lines.records if "event=closed" in r.getMessage()]
+    assert any(Close.ABANDONED.value in line and "peer=server" in line for line in closes)
+
+
+def test_it_is_off_unless_it_is_turned_on(caplog: pytest.LogCaptureFixture) -> None:
+    caplog.set_level(logging.INFO, "myrtlecourse.requests")
+
+    async def scenario() -> None:
+        async with Router() as router:
+            client, cache = await router.begun()
+            cache.write(HIT)
+            assert await client.resp() == b"value"
+
+    run(scenario)
+    assert not [r for r in caplog.records if r.name == "myrtlecourse.requests"]
