--- a/myrtlecourse/config.py
+++ b/myrtlecourse/config.py
@@ -11,7 +11,7 @@
 
 from myrtlecourse import interface as api
 from myrtlecourse.net.command import MAX_GATHERED
-from myrtlecourse.net.discovery import ListError, read_list
+from myrtlecourse.net.discovery import ListError, read_head, read_in_turns, read_list
 from myrtlecourse.net.members import Member
 from myrtlecourse.net.pool import MAX_PASSED, address_of
 from myrtlecourse.settings import number, read_settings, rows, section
@@ -53,8 +53,8 @@
     return str(value)
 
 
-def read_config(text: bytes) -> Config:
-    """Check a configuration.
+def read_config(text: bytes, listed: bool = True) -> Config:
+    """Check a configuration; its list's entries only if they are wanted (`listed`), else it has none.
 
     Raises:
         ConfigError: it can't be used; the message names the field.
@@ -76,7 +76,10 @@
         sockets = int(number(limits, "sockets", 1024, "limits.", 64))
         longest = int(number(limits, "longest_answer", MAX_PASSED, "limits.", MAX_GATHERED))
         memory = int(number(limits, "memory_mb", DEFAULT_MEMORY, "limits.", 1) * 1024 * 1024)
-        index, _, known = read_list(table.get("known"), "known")
+        if listed:
+            index, _, known = read_list(table.get("known"), "known")
+        else:
+            index, known = read_head(table.get("known"), "known").index, []
     except (api.SettingsError, ListError) as e:
         raise ConfigError(str(e)) from e
     listen = address_of(read_address(table, "listen"))
@@ -114,8 +117,8 @@
     return address_of(read_address(table, "peer_listen")), addresses
 
 
-def read_reload(text: bytes, running: Config) -> Config:
-    """Check a configuration that is to replace the one in force.
+async def read_reload(text: bytes, running: Config) -> Config:
+    """Check a configuration that is to replace the one in force, in several turns of the event loop.
 
     Stricter than at the start, where an absent key takes its default: a file cut off or half edited would
     quietly take a default for what operators had set.
@@ -123,7 +126,11 @@
     Raises:
         ConfigError: it can't be used, and nothing of it is to be taken.
     """
-    config = read_config(text)
+    config = read_config(text, listed=False)
+    try:
+        await read_in_turns(config.table["known"], "known")
+    except ListError as e:
+        raise ConfigError(str(e)) from e
     if (lost := next(missing(running.table, config.table, ""), None)) is not None:
         raise ConfigError(f"{lost} was set at the start and is missing")
     settings = section(config.table, "settings")
--- a/myrtlecourse/interface.py
+++ b/myrtlecourse/interface.py
@@ -151,13 +151,20 @@
     zone: str = ""
     cell: int = 0
     weight: float = 0.0
-    since: float = 0.0  # time of the latest start; 0 is long ago
+    since: float = 0.0  # time of the latest start, Unix time by its writer's clock; 0 is long ago
+    # the same on the host's clock, if that differs
+    started: float | None = field(default=None, compare=False)
 
     @property
     def ready(self) -> bool:
         """Whether it may be sent anything new."""
         return self.state is State.READY
 
+    @property
+    def start(self) -> float:
+        """When it started last, on the host's clock; 0 is long ago."""
+        return self.since if self.started is None else self.started
+
 
 @dataclass(slots=True, frozen=True)
 class ServerList:
@@ -184,7 +191,9 @@
     """Operators gave a cache server back. It was restarted meanwhile: nothing learned of it holds."""
 
     server: str
-    since: float  # when it was given back, Unix time in seconds; a process that learns of it later needs it
+    since: (
+        float  # when it was given back, on the host's clock (s); a process that learns of it later needs it
+    )
 
 
 @dataclass(slots=True, frozen=True)
--- a/myrtlecourse/net/clients.py
+++ b/myrtlecourse/net/clients.py
@@ -26,7 +26,6 @@
 MAX_PARTS = 16
 MAX_PIPELINED = 32  # commands of one connection that wait for their answers
 MAX_SHORT = 4096  # bytes of what is read the short way
-LONG_TURN = 0.005  # seconds; after a longer one it is looked up how long commands have lain in their sockets
 LINGER = 0.5  # seconds for which a closed connection is still read, so that its last answer arrives
 DISCARDED = 256 * 1024  # bytes read in that time at the most: a bad client would send on at full speed
 ERROR_PAUSE = 0.1  # seconds for which a connection is not read after an error
@@ -167,8 +166,8 @@
         turns = self.host.turns
         turns.note()
         self.came_at = self.listener.loop.time()
-        # the first may have lain in the backlog, and any while a turn was long
-        hidden = not self.commands or turns.before > LONG_TURN
+        # the first may have lain in the backlog, and any while the loop was held up
+        hidden = not self.commands or turns.held_up()
         self.waited = data_age(self.socket) if hidden else turns.waited()
         self.listener.idle.pop(self, None)
         # a closing one takes nothing more: nobody would hear that its client is gone
@@ -342,7 +341,11 @@
         self.reader.buffer.clear()
         self._reserve_no_more()
         self.listener.linger(self)
-        self.transport.write_eof()
+        try:
+            self.transport.write_eof()
+        except OSError:  # its client has just reset it
+            self.transport.abort()
+            return
         self._read_or_not()
         # guards the descriptors: a client that takes no answers, or rests, would keep its connection for good
         self.listener.loop.call_later(LINGER, self.transport.abort)
--- a/myrtlecourse/net/discovery.py
+++ b/myrtlecourse/net/discovery.py
@@ -24,6 +24,7 @@
 # after an answer with no news, so that an agent that never waits is not asked in a spin; a call more than
 # 200 ms after the last answer would be a new watch, in turn with all others
 EMPTY_PAUSE = 0.05
+READ_AT_ONCE = 64  # entries of a list, about a millisecond's work
 log = logging.getLogger(__name__)
 
 
@@ -63,14 +64,48 @@
     return Member(entry, address)
 
 
-def read_list(message: Any, where: str = "") -> tuple[int, bool, list[Member]]:
-    """The version of a list, whether it is whole, and its entries."""
+@dataclass(slots=True, frozen=True)
+class ListHead:
+    """What a list tells of itself, and its entries as they came."""
+
+    index: int
+    whole: bool
+    lines: list[Any]
+    where: str
+
+    def read(self, start: int, end: int) -> list[Member]:
+        """Some of the entries."""
+        return [
+            read_member(line, f"{self.where}endpoints[{start + i}]")
+            for i, line in enumerate(self.lines[start:end])
+        ]
+
+
+def read_head(message: Any, where: str = "") -> ListHead:
+    """A list whose entries are not read yet."""
     if not isinstance(message, dict):
         raise ListError(f"{where or 'list'} is not an object")
     where += "." if where else ""
     lines = field(message, "endpoints", list, where)
-    members = [read_member(line, f"{where}endpoints[{i}]") for i, line in enumerate(lines)]
-    return field(message, "index", int, where), field(message, "snapshot", bool, where), members
+    return ListHead(
+        field(message, "index", int, where), field(message, "snapshot", bool, where), lines, where
+    )
+
+
+def read_list(message: Any, where: str = "") -> tuple[int, bool, list[Member]]:
+    """The version of a list, whether it is whole, and its entries."""
+    head = read_head(message, where)
+    return head.index, head.whole, head.read(0, len(head.lines))
+
+
+async def read_in_turns(message: Any, where: str = "") -> tuple[int, bool, list[Member]]:
+    """The same, a few entries in each turn of the event loop: requests are read and answered in between."""
+    head = read_head(message, where)
+    members = head.read(0, READ_AT_ONCE)
+    for start in range(READ_AT_ONCE, len(head.lines), READ_AT_ONCE):
+        await asyncio.sleep(0)
+        members += head.read(start, start + READ_AT_ONCE)
+    return head.index, head.whole, members
 
 
 @dataclass(slots=True, frozen=True)
@@ -169,7 +204,7 @@
                 writer.close()
         if response.status != 200:
             raise ListError(f"answered {response.status}")
-        return read_list(orjson.loads(response.body))
+        return await read_in_turns(orjson.loads(response.body))
 
     def close(self) -> None:
         if self.watch is not None:
--- a/myrtlecourse/net/hangup.py
+++ b/myrtlecourse/net/hangup.py
@@ -28,7 +28,10 @@
     """Whether the other side has closed a connection, whatever lies unread before its end."""
     poll = select.poll()
     poll.register(descriptor, select.POLLRDHUP)
-    return any(events & GONE for _, events in poll.poll(0))
+    try:
+        return any(events & GONE for _, events in poll.poll(0))
+    except OSError:  # no memory for a look: nothing is known
+        return False
 
 
 class HangUps:
@@ -55,7 +58,11 @@
 
     def _look(self) -> None:
         self.timer = None
-        for descriptor, events in self.poll.poll(0):
+        try:
+            found = self.poll.poll(0)
+        except OSError:  # no memory for a look: the next one comes soon
+            found = []
+        for descriptor, events in found:
             connection = self.unread.get(descriptor)
             if connection is not None and events & GONE:
                 connection.hung_up()
--- a/myrtlecourse/net/host.py
+++ b/myrtlecourse/net/host.py
@@ -5,15 +5,18 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import math
-import time
 from collections import Counter, deque
 from collections.abc import Callable
+from dataclasses import replace
 
 from myrtlecourse import interface as api
+from myrtlecourse.net.clock import Clock
 from myrtlecourse.net.command import Command, CommandError
 from myrtlecourse.net.connection import Exchange
+from myrtlecourse.net.list_updates import ListNews, ListUpdates
 from myrtlecourse.net.logs import BoundedLog
 from myrtlecourse.net.members import Member
 from myrtlecourse.net.pool import Pool
@@ -35,16 +38,6 @@
 bounded = BoundedLog(log)
 
 
-class Clock:
-    """Unix time, read once; from then on it never jumps."""
-
-    def __init__(self) -> None:
-        self.offset = time.time() - time.monotonic()
-
-    def now(self) -> float:
-        return self.offset + time.monotonic()
-
-
 def busy(come_back: float) -> bytes:
     """A refusal, with the time to come back if there is one (seconds)."""
     pause = math.ceil(come_back * 1000)
@@ -81,9 +74,11 @@
         self.over: list[str] = []  # names of requests that may be forgotten
         self.events: deque[api.Event] = deque()
         self.handling = False
-        self.log = requests_log
         self.timers = Timers()
         self.turns = Turns()
+        self.updates = ListUpdates(lambda: self.members, self.take_list)
+        self.log = requests_log
+        self.updating = False  # a turn of the loop is asked for, to take the next batch
 
     def post(self, event: api.Event) -> None:
         """Hand an event to the module; one that comes while actions are carried out waits its turn."""
@@ -144,27 +139,67 @@
         self.post(api.ServerList(api.ListKind.FAILED))
 
     def list_told(self, kind: api.ListKind, members: list[Member]) -> None:
-        """Take a list or its changes."""
-        before = self.members
-        self.members = {} if kind is not api.ListKind.DELTA else dict(before)
-        for member in members:
-            name = member.entry.server
-            if member.entry.state is api.State.GONE:
-                self.members.pop(name, None)
-            else:
-                self.members[name] = member
-        self._tell_zones()
-        # guards the descriptors, and the next process at an address: nothing more is sent to one that ends,
-        # and a machine that vanished never closes what was kept to it
-        for name, old in before.items():
-            new = self.members.get(name)
-            if new is None or not new.entry.ready or new.process != old.process:
-                self._pool(old).close_idle(old.address)
-        began = self.clock.now()
-        self.post(api.ServerList(kind, tuple(m.entry for m in members)))
+        """Take a list or its changes, the longer ones a batch in each turn of the event loop.
+
+        The list of the configuration is taken at once: no request waits for it.
+        """
+        news = ListNews(kind, members)
+        if kind is api.ListKind.SAVED:
+            self.take_list(news)
+            return
+        self.updates.put(news)
+        if self.updates.pending and not self.updating:
+            self.updating = True
+            asyncio.get_running_loop().call_soon(self._take_batch)
+
+    def _take_batch(self) -> None:
+        self.turns.note()
+        try:
+            self.updates.step()
+        finally:
+            # guards the list: a fault in one batch must not end the others
+            self.updating = self.updates.pending
+            if self.updating:
+                asyncio.get_running_loop().call_soon(self._take_batch)
+
+    def take_list(self, news: ListNews) -> None:
+        """Enter news; costs what it names, and for a whole list what it ends."""
+        if news.kind is not api.ListKind.DELTA:
+            named = {m.entry.server for m in news.members}
+            for name in self.members.keys() - named:
+                self._replace(name, None)
+        for member in news.members:
+            self._replace(member.entry.server, None if member.entry.state is api.State.GONE else member)
+        if not self.updates.pending:
+            self._tell_zones()
         if self.log.on:
-            took, listed = self.clock.now() - began, len(self.members)
-            self.log.event("-", "list", kind=kind, entries=len(members), listed=listed, took=took)
+            kind, entries, listed = news.kind.value, len(news.members), len(self.members)
+            self.log.event("-", "list", kind=kind, entries=entries, listed=listed)
+        self.post(api.ServerList(news.kind, tuple(self._entry(m) for m in news.members)))
+
+    def _entry(self, member: Member) -> api.ServerEntry:
+        """A member as the module is told of it: its start on this clock, once the wall clock was stepped."""
+        entry = member.entry
+        if not self.clock.stepped:
+            return entry
+        return replace(entry, started=self.clock.start_of(entry.since))
+
+    def look_at_clock(self) -> None:
+        """Notice a step of the wall clock, by which others tell when servers started."""
+        if step := self.clock.look():
+            log.warning("the wall clock was stepped by %+.3f s", step)
+
+    def _replace(self, name: str, new: Member | None) -> None:
+        """List a server as it is told now, or no more.
+
+        Guards the descriptors, and the next process at an address: nothing more is sent to one that ends, and
+        a machine that vanished never closes what was kept to it.
+        """
+        old = self.members.pop(name, None)
+        if new is not None:
+            self.members[name] = new
+        if old is not None and (new is None or not new.entry.ready or new.process != old.process):
+            self._pool(old).close_idle(old.address)
 
     # Operators
 
@@ -180,7 +215,7 @@
         if (member := self.members.get(server)) is not None:
             self._pool(member).leave(member.address)
         self.offlined.discard(server)
-        self.post(api.Online(server, since))
+        self.post(api.Online(server, self.clock.start_of(since)))
 
     def retune(self, settings: api.Settings) -> None:
         """Other settings from now on; open requests end under those that they began with."""
@@ -354,8 +389,10 @@
         over = taken.closed or taken.overdue or attempt.number >= taken.settings.max_attempts
         member = self.members.get(action.server)
         if self.log.on:
-            told = {"no": attempt.number, "server": action.server, "reason": action.reason}
-            self.log.event(taken.name, "sent", **told, left=taken.deadline - now)
+            number, left = attempt.number, taken.deadline - now
+            self.log.event(
+                taken.name, "sent", no=number, server=action.server, reason=action.reason, left=left
+            )
         if over or member is None or not taken.reply.there():
             failed = not over and member is None
             self.finish(taken, attempt, api.Status.CONNECT_FAILED if failed else api.Status.MOOT)
--- a/myrtlecourse/net/listener.py
+++ b/myrtlecourse/net/listener.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
 import socket
 from collections.abc import Callable
@@ -21,6 +22,23 @@
 BACKLOG = 512
 LOOKS = 16  # connections looked at for one that may go, in each place where they are found
 ACCEPTS = 32  # connections taken in at most in a turn of the event loop, so that those already up have theirs
+# errors of accept() that are those of one connection, which was on its way: the next may be well (accept(2))
+OF_ONE_CLIENT = frozenset(
+    {
+        errno.ECONNABORTED,
+        errno.EHOSTDOWN,
+        errno.EHOSTUNREACH,
+        errno.EINTR,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+        errno.ENONET,
+        errno.ENOPROTOOPT,
+        errno.EOPNOTSUPP,
+        errno.EPERM,
+        errno.EPROTO,
+        errno.ETIMEDOUT,
+    }
+)
 ACCEPT_PAUSE = 0.1  # after a failed accept, so that running out of descriptors does not spin
 COMMAND_TIME = 2.6  # seconds for a head to come: an honest one may take 2, a bad one is owed a word within 3
 VALUE_PAUSE = 1.0  # seconds in which some of a value must come after that
@@ -29,6 +47,7 @@
 GRACE = 0.05  # seconds that a new client has to send its first command, however crowded it is
 FIRST_TIME = 0.5  # seconds that a new client has for it while this process ends or is emptied
 SWEEP = 0.1  # seconds between looks for connections that are overdue
+HELD_UP = 0.05  # seconds by which such a look comes late, that are worth a line in the log
 NOTICE = 0.5  # seconds for which clients go on coming after an end that the front must notice: 0.2 to 0.4
 BUSY_TIME = 1.5  # seconds after which a router that is emptied takes no command of those that stay, of 2
 SPARE = 8  # closed connections, still read, that hold descriptors beside the budget
@@ -96,34 +115,60 @@
         One a turn left clients in the backlog while turns grew long, until they had gone away: what was read
         from them then was spent for nobody, and each came again on a new connection.
         """
-        loop = asyncio.get_running_loop()
         while True:
-            # not looked at while there is no room, or the loop would spin on those that wait outside
-            self.waiting.clear()
-            loop.add_reader(self.socket.fileno(), self.waiting.set)
+            try:
+                await self._wait_for_clients()
+                for _ in range(ACCEPTS):
+                    if not await self._accept_one():
+                        break
+            except OSError as e:
+                # guards the router: without this task no client would ever be let in again
+                bounded.log(logging.WARNING, "accept: %s", e)
+                await asyncio.sleep(ACCEPT_PAUSE)
+
+    async def _wait_for_clients(self) -> None:
+        """Wait for the backlog, which is not looked at else: the loop would spin while there is no room."""
+        self.waiting.clear()
+        self.loop.add_reader(self.socket.fileno(), self.waiting.set)
+        try:
             await self.waiting.wait()
-            loop.remove_reader(self.socket.fileno())
-            for _ in range(ACCEPTS):
-                try:
-                    client, _ = self.socket.accept()
-                except BlockingIOError:
-                    break
-                except OSError as e:
-                    bounded.log(logging.WARNING, "accept: %s", e)
-                    await asyncio.sleep(ACCEPT_PAUSE)
-                    break
-                if self.holds is not None and not self.holds():
-                    # guards against a process that was stopped: what waits came for the holder that it was
-                    client.close()
-                    continue
-                client.setblocking(False)
-                # guards small answers: the system held them back until the one before was acknowledged; event
-                # loops see to it only for sockets that name their protocol
-                client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-                task = loop.create_task(self._welcome(client))
-                self.coming.add(task)
-                task.add_done_callback(self.coming.discard)
-                await self._make_room()
+        finally:
+            if self.socket.fileno() >= 0:
+                self.loop.remove_reader(self.socket.fileno())
+
+    async def _accept_one(self) -> bool:
+        """Take in a client, and make room for it; False when there is none.
+
+        Raises:
+            OSError: the system has no room for one, and will have none in the next instant either.
+        """
+        try:
+            client, _ = self.socket.accept()
+        except BlockingIOError:
+            return False
+        except OSError as e:
+            if e.errno not in OF_ONE_CLIENT:
+                raise
+            bounded.log(logging.INFO, "a client's connection ended before it was accepted: %s", e)
+            return True
+        if self.holds is not None and not self.holds():
+            # guards against a process that was stopped: what waits came for the holder that it was
+            client.close()
+            return True
+        try:
+            client.setblocking(False)
+            # guards small answers: the system held them back until the one before was acknowledged; event
+            # loops see to it only for sockets that name their protocol
+            client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        except OSError as e:
+            bounded.log(logging.INFO, "a client's connection ended as it was accepted: %s", e)
+            client.close()
+            return True
+        task = self.loop.create_task(self._welcome(client))
+        self.coming.add(task)
+        task.add_done_callback(self.coming.discard)
+        await self._make_room()
+        return True
 
     async def _welcome(self, client: socket.socket) -> None:
         try:
@@ -173,8 +218,13 @@
 
     async def _sweep(self) -> None:
         """Guards against clients that say nothing, or half a command, and those that stay for good."""
+        turns = self.host.turns
         while True:
+            turns.expect(SWEEP)
             await asyncio.sleep(SWEEP)
+            if (late := turns.beat()) > HELD_UP:
+                bounded.log(logging.WARNING, "the event loop was held up for %.3f s", late)
+            self.host.look_at_clock()
             now = asyncio.get_running_loop().time()
             for connection, since in list(self.awaited.items()):
                 if now - since < COMMAND_TIME:
--- a/myrtlecourse/net/pool.py
+++ b/myrtlecourse/net/pool.py
@@ -16,6 +16,10 @@
 from myrtlecourse.net.window import Windows
 
 IDLE_MARGIN = 0.5  # seconds before the peer may close an idle connection at which it is no longer used
+# errors of socket() and connect() that say nothing of the server: this machine lacks room, ports or memory
+OWN_SHORTAGE = frozenset(
+    {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL, errno.EAGAIN}
+)
 MOST_DIALS = 16  # to one address at a time: opening them is work for a server, most for one just started
 MAX_PASSED = 4 * 1024 * 1024  # bytes of a long answer, unless the configuration tells
 
@@ -133,8 +137,7 @@
         except OSError as e:  # a time-out is one
             # once it is made the request may be on its way, and the connection's end tells what became of it
             if not connection.made:
-                full = e.errno in (errno.EMFILE, errno.ENFILE)
-                status = Status.MOOT if full else Status.CONNECT_FAILED
+                status = Status.MOOT if e.errno in OWN_SHORTAGE else Status.CONNECT_FAILED
                 self._fail_waiting(address, status)
                 exchange.finish(status)
         finally:
--- a/myrtlecourse/ops/store.py
+++ b/myrtlecourse/ops/store.py
@@ -12,6 +12,7 @@
 import logging
 import os
 from collections.abc import Callable
+from contextlib import suppress
 from pathlib import Path
 
 import orjson
@@ -80,7 +81,10 @@
         except OSError as e:
             raise OrdersError(f"orders can't be kept: {e}") from e
         try:
-            await self._lock(lock)
+            try:
+                await self._lock(lock)
+            except OSError as e:  # ENOLCK, EIO
+                log.warning("orders are written without the lock: %s", e)
             self.refresh()
             orders = how(self.orders)
             if orders is not self.orders:
@@ -107,6 +111,8 @@
             new.write_bytes(text)
             new.rename(path)  # a reader sees the old file or the new one, whole
         except OSError as e:
+            with suppress(OSError):
+                new.unlink(missing_ok=True)  # half written, perhaps
             raise OrdersError(f"orders can't be kept: {e}") from e
 
 
--- a/myrtlecourse/policy/learning.py
+++ b/myrtlecourse/policy/learning.py
@@ -29,12 +29,12 @@
         server.limit += 1.0 if not server.cache and server.slowness < tuning.EASY else 1 / server.limit
 
 
-def note_failure(
-    now: float, server: Server, caches: list[Server], failed: bool, count: int, ramp: float, chance: Random
-) -> None:
-    """Guards retries: keys of a server that fails each attempt at once would spend them all."""
-    others = sum(s.failures >= tuning.FAILURES for s in caches if s is not server)
-    if not failed or not server.cache or others + 1 > tuning.MOST_OUT * len(caches):
+def note_failure(now: float, server: Server, failed: bool, count: int, ramp: float, chance: Random) -> None:
+    """Guards retries: keys of a server that fails each attempt at once would spend them all.
+
+    `failed` is to be false where too many others are out.
+    """
+    if not failed or not server.cache:
         server.failures, server.pause = 0, 0.0
         return
     server.failures += count
--- a/myrtlecourse/policy/leaving.py
+++ b/myrtlecourse/policy/leaving.py
@@ -32,7 +32,7 @@
         """Whether a cache server is left: not one that has started since, which a list has told, unless the
         fleet has a pace for it."""
         left_at = self.left_at.get(entry.zone)
-        return left_at is not None and (self.order.paced or entry.since <= left_at)
+        return left_at is not None and (self.order.paced or entry.start <= left_at)
 
     def stays(self) -> None:
         """A request goes to a survivor that it would have gone to anyway: others may follow in proportion."""
--- a/myrtlecourse/policy/ring.py
+++ b/myrtlecourse/policy/ring.py
@@ -5,12 +5,26 @@
 import hashlib
 import math
 import struct
+from array import array
 from bisect import bisect_left
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator
 
-from myrtlecourse.policy import tuning
 from myrtlecourse.policy.state import Server
 
+# A point is one number of 60 bits, which compiled code holds without an object: the leading bits of its
+# position behind those that name its bucket, then whose it is
+BUCKET_BITS = 11
+SERVER_BITS = 16
+NODE_BITS = 7
+KEPT_BITS = 38  # of a position, behind those that name its bucket
+BUCKETS = 1 << BUCKET_BITS
+MOST_SERVERS = 1 << SERVER_BITS
+MOST_NODES = 1 << NODE_BITS  # of one server: `tuning.POINTS` at most
+OWNER_BITS = SERVER_BITS + NODE_BITS
+CUT_BITS = 64 - BUCKET_BITS - KEPT_BITS  # at a position's end, which are not kept
+KEPT = (1 << KEPT_BITS) - 1
+MANY = 64  # servers placed at once, from which on buckets are sorted whole
+
 
 def ring_hash(text: str) -> tuple[int, ...]:
     """Positions on the ring: a key takes the first, a server all of them."""
@@ -19,59 +33,128 @@
 
 def virtual_nodes(server: str, count: int) -> tuple[int, ...]:
     """The first virtual nodes of a server; more weight adds to them and moves none."""
-    return tuple(p for j in range(math.ceil(count / 8)) for p in ring_hash(f"{server}-vnode-{j}"))[:count]
+    name = f"{server}-vnode-".encode()
+    digests = b"".join([hashlib.blake2b(name + b"%d" % j).digest() for j in range(math.ceil(count / 8))])
+    positions: tuple[int, ...] = struct.unpack(f">{len(digests) // 8}Q", digests)
+    return positions[:count]
+
+
+def bucket_of(position: int) -> int:
+    """The number of the bucket that holds a position."""
+    return position >> (64 - BUCKET_BITS)
+
+
+def point_of(position: int, number: int, node: int) -> int:
+    """A virtual node of the server that has a number, as its bucket holds it."""
+    return (position >> CUT_BITS & KEPT) << OWNER_BITS | number << NODE_BITS | node
 
 
 class Ring:
-    """Points follow the size of a server alone, so that others coming or going move none of them."""
+    """Virtual nodes in the order of their positions, in buckets of which a change touches a few.
+
+    A server that comes, goes or changes its size costs what its own points cost, whatever others there are.
+    """
 
     def __init__(self) -> None:
-        self.owners: dict[int, tuple[Server, float]] = {}  # and the rank of each point among the owner's
-        self.positions: list[int] = []  # sorted
-        self.sizes: dict[str, float] = {}  # the largest weight seen of a kind
-        self.total_size = 0.0
-        self.mean_reported = 0.0
-
-    def place(self, server: Server, count: int) -> tuple[int, ...]:
-        """Give a server its points, each with a rank among them; answers with those that are new."""
-        if count == len(server.points):
-            return ()
-        for p in server.points:
-            del self.owners[p]
-        server.points = virtual_nodes(server.entry.server, count)
-        self.owners.update({p: (server, (j + 0.5) / count) for j, p in enumerate(server.points)})
-        return server.points
-
-    def build(
-        self, servers: Iterable[Server], caches: list[Server], live_weights: bool, zones: Mapping[str, float]
-    ) -> None:
-        """Give each ready cache server its points; where weights are `live`, by its kind's largest.
-
-        Of those in `zones` only such a share counts.
+        self.buckets = [array("Q") for _ in range(BUCKETS)]
+        self.servers: list[Server | None] = []  # by number
+        self.free: list[int] = []  # numbers
+        self.size = 0  # points
+
+    def place(self, server: Server, count: int) -> None:
+        """Give a server so many points; those that it keeps stay where they are."""
+        self._add(server, count)
+        if count < server.points:
+            nodes = virtual_nodes(server.entry.server, server.points)
+            for node in range(count, server.points):
+                bucket = self.buckets[bucket_of(nodes[node])]
+                del bucket[bisect_left(bucket, point_of(nodes[node], server.number, node))]
+            self._count(server, count)
+
+    def place_all(self, counts: Iterable[tuple[Server, int]]) -> None:
+        """The same for many, cheaper in all: each bucket is sorted once."""
+        pairs = list(counts)
+        if len(pairs) < MANY:
+            for server, count in pairs:
+                self.place(server, count)
+            return
+        for server, count in pairs:
+            if count < server.points:
+                self.place(server, count)
+        for server, count in pairs:
+            self._add(server, count, in_order=False)
+        self.buckets = [array("Q", sorted(bucket)) for bucket in self.buckets]
+
+    def _add(self, server: Server, count: int, in_order: bool = True) -> None:
+        """Give a server the points that it lacks, each in its place or at the end of its bucket."""
+        if count <= server.points or not self._number(server):
+            return
+        nodes = virtual_nodes(server.entry.server, count)
+        number = server.number << NODE_BITS
+        for node in range(server.points, count):
+            kept = nodes[node] >> CUT_BITS
+            bucket = self.buckets[kept >> KEPT_BITS]
+            point = (kept & KEPT) << OWNER_BITS | number | node
+            if in_order:
+                bucket.insert(bisect_left(bucket, point), point)
+            else:
+                bucket.append(point)
+        self._count(server, count)
+
+    def _number(self, server: Server) -> bool:
+        """See to it that a server has a number; False when there is none left."""
+        if server.number >= 0:
+            return True
+        if self.free:
+            server.number = self.free.pop()
+            self.servers[server.number] = server
+            return True
+        if len(self.servers) >= MOST_SERVERS:
+            return False
+        server.number = len(self.servers)
+        self.servers.append(server)
+        return True
+
+    def _count(self, server: Server, count: int) -> None:
+        self.size += count - server.points
+        server.points = count
+        if not count:
+            self.servers[server.number] = None
+            self.free.append(server.number)
+            server.number = -1
+
+    def succeed(self, former: Server, server: Server) -> None:
+        """A server takes over the points of a former process of its own name."""
+        server.points, former.points = former.points, 0
+        server.number, former.number = former.number, -1
+        if server.number >= 0:
+            self.servers[server.number] = server
+
+    def around(self, key: str, most: int) -> Iterator[tuple[Server, float]]:
+        """The servers clockwise from a key, point by point, each with the point's rank among its own.
+
+        At most `most` points, and no more than one tour.
         """
-        for s in caches:
-            s.size = s.entry.weight
-            if live_weights:
-                # live weights fall with load and come late: on the ring they moved keys with every list
-                kind = s.entry.kind
-                s.size = self.sizes[kind] = max(self.sizes.get(kind, 0.0), s.size)
-                s.reported = s.size / s.entry.weight - 1 if s.entry.weight else 0.0
-        if zones:
-            for s in caches:
-                s.size = (s.size or 1.0) * zones.get(s.entry.zone, 1.0)
-        largest = max((s.size for s in caches), default=0.0) or 1.0  # and what a missing weight counts as
-        unit = 2.0 ** math.ceil(math.log2(largest))  # rarely changes with the fleet
-        fresh: set[int] = set()
-        for s in servers:
-            s.size = s.size or largest
-            count = math.ceil(tuning.POINTS * s.size / unit) if s.cache and s.ready else 0
-            fresh.update(self.place(s, count))
-        if fresh or len(self.owners) < len(self.positions):
-            kept = [p for p in self.positions if p in self.owners and p not in fresh]
-            self.positions = sorted([*kept, *fresh])
-        self.total_size = sum(s.size for s in caches)
-        self.mean_reported = sum(s.reported for s in caches) / max(1, len(caches))
-
-    def start(self, key: str) -> int:
-        """Where a key's walk begins, as an index of `positions`."""
-        return bisect_left(self.positions, ring_hash(key)[0])
+        position = ring_hash(key)[0]
+        number = bucket_of(position)
+        bucket = self.buckets[number]
+        at = bisect_left(bucket, point_of(position, 0, 0))
+        for _ in range(min(most, self.size)):
+            while at >= len(bucket):
+                number = (number + 1) % BUCKETS
+                bucket = self.buckets[number]
+                at = 0
+            point = bucket[at]
+            at += 1
+            server = self.servers[point >> NODE_BITS & (MOST_SERVERS - 1)]
+            if server is not None:
+                yield server, ((point & (MOST_NODES - 1)) + 0.5) / server.points
+
+    def points(self) -> Iterator[tuple[int, Server]]:
+        """All positions in their order, as far as they are kept, and whose they are."""
+        for number, bucket in enumerate(self.buckets):
+            for point in bucket:
+                server = self.servers[point >> NODE_BITS & (MOST_SERVERS - 1)]
+                if server is not None:
+                    position = number << (64 - BUCKET_BITS) | point >> OWNER_BITS << CUT_BITS
+                    yield position, server
--- a/myrtlecourse/policy/router.py
+++ b/myrtlecourse/policy/router.py
@@ -117,9 +117,7 @@
         self.returned = {name: at for name, at in self.returned.items() if self.now < at + ramp}
         self.returned[event.server] = min(event.since, self.now)
         if (server := self.servers.get(event.server)) is not None and server.cache:
-            self._drop(event.server)
-            self._admit(server.entry)
-            self._build_ring()
+            self._place([self._admit(server.entry, self._forget_server(event.server))])
             self._serve_waiting()
 
     def _on_retuned(self, settings: api.Settings) -> None:
@@ -157,12 +155,15 @@
         if event.kind is api.ListKind.FAILED:
             self._ask_list_later()
             return
+        before = self.ring.size > 0, list(self.origins.values())
         self._take_list(event)
         if event.kind is not api.ListKind.SAVED:
             self.list_failures = 0
         else:
             self._subscribe()
-        self._serve_waiting()
+        # guards the event loop: what waits does so for an origin, or for any server at all
+        if before != (self.ring.size > 0, list(self.origins.values())):
+            self._serve_waiting()
 
     def _serve_waiting(self) -> None:
         """Look anew at all that waits, as servers have come."""
@@ -185,7 +186,7 @@
 
     def _advance(self, held: Held) -> None:
         """Send the next attempt, hold the request for one, or end it."""
-        to_ring = self.ring.positions and not held.to_origin
+        to_ring = self.ring.size and not held.to_origin
         server = self._choose(held) if to_ring else self._origin()
         if self.now >= held.until:
             self._end(held, api.Reason.NO_TIME)
@@ -273,6 +274,8 @@
             self._close_idle(self.servers.get(name))
         elif what == "origin":
             self._serve_queue()
+        elif what == "ring":
+            self._place_others()
         held = self.held.get(name)
         if held is not None and what == "overdue":
             self._overdue(held)
--- a/myrtlecourse/policy/state.py
+++ b/myrtlecourse/policy/state.py
@@ -21,7 +21,8 @@
     load: int = 0  # own attempts whose answers may still come, or begin to
     size: float = 1.0  # its weight, steady
     reported: float = 0.0  # requests held for each unit of size, by all routers, seconds ago
-    points: tuple[int, ...] = ()  # its positions on the ring
+    points: int = 0  # that it has on the ring
+    number: int = -1  # there, while it has any
     limit: float = tuning.LIMIT_START  # of own attempts in flight
     cut_at: float = -math.inf
     slowness: float = 0.0  # smoothed share of the target that answers take, as one says little
--- a/myrtlecourse/policy/tuning.py
+++ b/myrtlecourse/policy/tuning.py
@@ -5,6 +5,7 @@
 from myrtlecourse import interface as api
 
 POINTS = 128  # virtual nodes of a server as large as the unit of weight: shares within a tenth or so
+PLACED_AT_ONCE = 64  # servers whose points are counted anew in one go, a few milliseconds' work
 EPSILON = 0.25  # a server may stand this far above the average load before the walk passes it
 WALK = 64  # points a walk goes at most: no tour of the fleet for each request when all is crowded
 LEFT_WALK = 512  # the same while a zone is left, whose points stay where they are
--- a/myrtlecourse/policy/walk.py
+++ b/myrtlecourse/policy/walk.py
@@ -28,18 +28,15 @@
     def _choose(self, held: Held) -> Server | None:
         """The bounded walk: a key's load flows clockwise, and each server keeps (1 + epsilon) fair shares."""
         key = held.request.key if held.request.key is not None else held.request.request
-        start = self.ring.start(key)
         flow = self.random.random() * self._load_of(key)
         # passed by chance: all read the same late report
-        cap = (1 + tuning.EPSILON) * max(1.0, self.ring.mean_reported)
+        cap = (1 + tuning.EPSILON) * max(1.0, self.sizes.mean_reported())
         passed: set[Server] = set()
         crowded = 0
         first = None
-        positions, owners = self.ring.positions, self.ring.owners
         # past a zone that is left it may be far to the next one
         most = tuning.WALK if self.leaving is None else tuning.LEFT_WALK
-        for step in range(min(most, len(positions))):
-            server, rank = owners[positions[(start + step) % len(positions)]]
+        for server, rank in self.ring.around(key, most):
             warm = self._warm_share(server)
             # guards against pushing over a cold server: all leave out the same points, and none spills to it
             # a key whose own server has not taken it back yet goes to no other that comes back: else it would
@@ -50,7 +47,7 @@
             passed.add(server)
             if self._eligible(held, server):
                 first = first or server
-                flow -= (1 + tuning.EPSILON) * warm * server.size / self.ring.total_size
+                flow -= (1 + tuning.EPSILON) * warm * server.size / self.sizes.total
                 if flow <= 0 and server.reported * self.random.random() <= cap:
                     return server
             elif server.left and self.leaving is not None:
@@ -108,8 +105,16 @@
         return rate * tuning.PAUSE < tuning.FAILURES
 
     def _note_failure(self, server: Server, failed: bool, count: int = 1) -> None:
-        caches = self.caches if self.leaving is None else [s for s in self.caches if not s.left]
-        note_failure(self.now, server, caches, failed, count, self.settings.ramp, self.random)
+        caches, failing = len(self.caches), len(self.failing) - (server in self.failing)
+        if self.leaving is not None:
+            caches -= sum(s.left for s in self.caches.values())
+            failing -= sum(s.left for s in self.failing if s is not server)
+        too_many = failing + 1 > tuning.MOST_OUT * caches
+        note_failure(self.now, server, failed and not too_many, count, self.settings.ramp, self.random)
+        if server.failures >= tuning.FAILURES and self.caches.get(server.entry.server) is server:
+            self.failing.add(server)
+        else:
+            self.failing.discard(server)
 
     def _silent(self, server: Server) -> bool:
         """Whether a server owes us an answer and has given none, to anything, for too long."""
--- a/myrtlecourse/scale/hollow.py
+++ b/myrtlecourse/scale/hollow.py
@@ -24,6 +24,7 @@
 from myrtlecourse.fleet.operators import held
 from myrtlecourse.net.discovery import Discovery, Patience
 from myrtlecourse.net.host import Host
+from myrtlecourse.net.list_updates import ListNews
 from myrtlecourse.net.members import Member as Listed
 from myrtlecourse.net.origin import OriginConnection
 from myrtlecourse.net.pool import Pool
@@ -101,10 +102,11 @@
         self.discovery = Discovery(
             config.discovery,
             config.known_index,
-            self._list_told,
+            self.host.list_told,
             self.host.list_failed,
             Patience.of(settings),
         )
+        self.host.updates.take = self._take_list
         self.speaker: CountingSpeaker | None = None
         if job.operators is not None:
             self.speaker = self._speaker(config, job.operators)
@@ -142,9 +144,10 @@
         if self.speaker is not None:
             await self.speaker.start(shared=again)
 
-    def _list_told(self, kind: api.ListKind, members: list[Listed]) -> None:
-        before = self.host.members
-        self.host.list_told(kind, members)
+    def _take_list(self, news: ListNews) -> None:
+        """Note what is in force once its decisions have it."""
+        before = dict(self.host.members)
+        self.host.take_list(news)
         now, after = time.monotonic(), self.host.members
         for name, new in after.items():
             old = before.get(name)
--- a/myrtlecourse/scale/slopes.py
+++ b/myrtlecourse/scale/slopes.py
@@ -21,6 +21,7 @@
 from myrtlecourse import policy
 from myrtlecourse.net import discovery
 from myrtlecourse.net.host import Host
+from myrtlecourse.net.list_updates import ListNews
 from myrtlecourse.net.members import Member
 from myrtlecourse.net.origin import OriginConnection
 from myrtlecourse.net.pool import Pool
@@ -87,9 +88,34 @@
 
 
 def told(to: Host, body: bytes) -> None:
-    """One turn of the loop: an answer of discovery's is read, and taken by host and module."""
+    """An answer of discovery's is read, and taken by host and module, in as many turns as that takes."""
     whole, members = parse(body)
-    to.list_told(api.ListKind.FULL if whole else api.ListKind.DELTA, members)
+    to.updates.put(ListNews(api.ListKind.FULL if whole else api.ListKind.DELTA, members))
+    to.updates.drain()
+
+
+def longest_turn(to: Host, body: bytes) -> float:
+    """The same; processor seconds of the turn that takes longest."""
+    turns = []
+    before = time.thread_time()
+
+    def turn_ends() -> None:
+        nonlocal before
+        now = time.thread_time()
+        turns.append(now - before)
+        before = now
+
+    head = discovery.read_head(orjson.loads(body))
+    members: list[Member] = []
+    for start in range(0, max(1, len(head.lines)), discovery.READ_AT_ONCE):
+        members += head.read(start, start + discovery.READ_AT_ONCE)
+        turn_ends()
+    to.updates.put(ListNews(api.ListKind.FULL if head.whole else api.ListKind.DELTA, members))
+    turn_ends()
+    while to.updates.pending:
+        to.updates.step()
+        turn_ends()
+    return max(turns)
 
 
 def timed(work: Callable[[], object], repeats: int) -> list[float]:
@@ -120,7 +146,11 @@
 
 def list_stop(size: int, repeats: int) -> list[float]:
     body = spelled(lines(size), True)
-    return timed(lambda: told(host(), body), repeats)
+    found = []
+    for _ in range(repeats):
+        gc.collect()
+        found.append(longest_turn(host(), body))
+    return found
 
 
 def changes(to: Host, size: int) -> Callable[[], None]:
--- a/myrtlecourse/service.py
+++ b/myrtlecourse/service.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import logging
 import os
 import signal
@@ -25,7 +26,7 @@
 from myrtlecourse.net.servers import CacheConnection
 from myrtlecourse.net.window import PART, Room, Windows
 from myrtlecourse.ops.calls import Answer, Call, Kind
-from myrtlecourse.ops.lives import Lives, share
+from myrtlecourse.ops.lives import Claim, Lives, share
 from myrtlecourse.ops.orders import Listed, Orders, OrdersError, changes
 from myrtlecourse.ops.server import OpsServer
 from myrtlecourse.ops.store import Store
@@ -78,9 +79,11 @@
                 # guards the start: without the folder only what two processes share is lost
                 logging.error("nothing is shared with another process: %s", e)
         self.ending = False
+        self.others: list[Claim] = []  # other processes of this router that live, as last seen
         self._share()
         self.orders = Orders()  # as the decisions have them
         self.ops = OpsServer(self.carry_out)
+        self.reload_wanted = asyncio.Event()
         self.fresh = asyncio.Event()  # a list has come from discovery
         operators = os.environ.get("MYRTLECOURSE_FILE", "")
         self.operators = Path(operators) if operators else None  # their file
@@ -108,12 +111,15 @@
         self._list_told(api.ListKind.SAVED, self.config.known)
         if not self.config.settings.subscribe:
             self.discovery.subscribe()  # the module does not ask for what is pushed; it comes as asked for
+        reloads = asyncio.create_task(self._reload_when_told())
         watch = asyncio.create_task(self._watch_others()) if self.lives is not None else None
         if self.inherited is not None:
             await self._wait_for_list()
         if self.operators is not None:
             self.beyond = Beyond(self, self.operators)
             await self.beyond.start()
+        # what is there by now stays: a look for garbage through a large list would stop the event loop
+        gc.freeze()
         try:
             self.listener.start(self.config.listen, self.inherited)
         except OSError as e:
@@ -126,6 +132,7 @@
                 raise ConfigError(f"ops: {e}") from e
         await terminated.wait()
         await self._end()
+        reloads.cancel()
         if watch is not None:
             watch.cancel()
         self.ops.close()
@@ -133,7 +140,10 @@
         self.servers.close()
         self.origin.close()
         if self.lives is not None:
-            self.lives.end()
+            try:
+                self.lives.end()
+            except OSError as e:
+                logging.error("its claim on descriptors was not taken back: %s", e)
         logging.info("ended; the longest turn of the event loop took %.1f ms", 1000 * self.host.turns.longest)
 
     async def _end(self) -> None:
@@ -219,17 +229,26 @@
         """What is told to one process of an upgrade binds both, and they share one router's limits."""
         while True:
             await asyncio.sleep(LOOK)
-            try:
-                if self.store.refresh():
-                    self._obey()
-                self._share()
-            except OSError as e:
-                # guards the router: a folder out of order must not end the look at what was ordered
-                bounded.log(logging.ERROR, "sharing with another process: %s", e)
+            if self.store.refresh():
+                self._obey()
+            self._share()
+
+    def _others(self) -> list[Claim]:
+        """Other processes of this router that live, as far as can be told.
+
+        Guards the router: a folder out of order ends neither its start nor the look at what was ordered.
+        """
+        if self.lives is None:
+            return []
+        try:
+            self.others = self.lives.others()
+        except OSError as e:
+            bounded.log(logging.ERROR, "looking for another process: %s", e)
+        return self.others
 
     def _share(self) -> None:
         """Deal the router's limits to this process and another of it that lives."""
-        others = self.lives.others() if self.lives is not None else []
+        others = self._others()
         total = self.config.sockets - RESERVE - SECOND_RESERVE * len(others)
         if self.ending and others:
             # guards the process that follows: what is kept for requests that won't come is what it lacks
@@ -238,15 +257,28 @@
         descriptors = self.descriptors
         if self.lives is not None:
             descriptors.total = share(total, descriptors.used(), self.ending, self.lives.born, others)
-            self.lives.claim(descriptors.total)
+            try:
+                self.lives.claim(descriptors.total)
+            except OSError as e:
+                bounded.log(logging.ERROR, "telling another process of its descriptors: %s", e)
         self.windows.budget = self.room.budget = int(self.config.memory * PART / (1 + len(others)))
 
     # Reloads
 
     def reload(self) -> None:
+        """Take a new configuration, once the one in hand is done with."""
+        self.reload_wanted.set()
+
+    async def _reload_when_told(self) -> None:
+        while True:
+            await self.reload_wanted.wait()
+            self.reload_wanted.clear()
+            await self._reload()
+
+    async def _reload(self) -> None:
         """Take a new configuration whole, or nothing of it: discovery's address and the settings."""
         try:
-            config = read_reload(read_file(self.path), self.config)
+            config = await read_reload(read_file(self.path), self.config)
         except ConfigError as e:
             # guards the running router: a file half written or wrong must not cost what it serves
             logging.error("configuration not taken, the old one stays: %s", e)
--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import copy
 from typing import Any
 
@@ -10,12 +11,17 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from myrtlecourse.config import Config, ConfigError, read_config, read_reload
+from myrtlecourse import config as configs
+from myrtlecourse.config import Config, ConfigError, read_config
 from tests.test_main import GOOD
 
 TEXT = orjson.dumps(GOOD)
 
 
+def read_reload(text: bytes, before: Config) -> Config:
+    return asyncio.run(configs.read_reload(text, before))
+
+
 def running() -> Config:
     return read_config(TEXT)
 
--- a/tests/test_expect.py
+++ b/tests/test_expect.py
@@ -100,7 +100,7 @@
 
 class OneServer(Router):
     def _choose(self, held: Held) -> Server | None:
-        return self.caches[0] if self.caches else None
+        return next(iter(self.caches.values()), None)
 
 
 class Refuses(Router):
--- a/tests/test_house.py
+++ b/tests/test_house.py
@@ -36,6 +36,8 @@
     imported = re.findall(r"^(?:import|from) (\S+)", MODULE, re.MULTILINE)
     allowed = {
         "__future__",
+        "array",
+        "itertools",
         "hashlib",
         "heapq",
         "math",
--- /dev/null
+++ b/tests/test_list_updates.py
@@ -0,0 +1,88 @@
+"""Lists in batches: what comes out is the list that came, in bounded steps, with drains first."""
+
+from __future__ import annotations
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from myrtlecourse import interface as api
+from myrtlecourse.net.list_updates import BATCH, ListNews, ListUpdates
+from myrtlecourse.net.members import Member
+from tests.loopback import member
+
+STATES = st.sampled_from(api.State)
+entries = st.builds(
+    lambda name, state, since: member(f"s{name}", f"127.0.0.1:{1000 + name}", state=state, since=since),
+    st.integers(0, 120),
+    STATES,
+    st.sampled_from([0.0, 5.0]),
+)
+
+
+def unique(members: list[Member]) -> list[Member]:
+    return list({m.entry.server: m for m in members}.values())
+
+
+news = st.builds(
+    ListNews,
+    st.sampled_from([api.ListKind.DELTA, api.ListKind.FULL]),
+    st.lists(entries, max_size=130).map(unique),
+)
+
+
+def applied(held: dict[str, Member], told: ListNews) -> dict[str, Member]:
+    """A list after news, the plain way."""
+    after = dict(held) if told.kind is api.ListKind.DELTA else {}
+    for each in told.members:
+        if each.entry.state is api.State.GONE:
+            after.pop(each.entry.server, None)
+        else:
+            after[each.entry.server] = each
+    return after
+
+
+class Taker:
+    """Holds a list, and counts what each step enters."""
+
+    def __init__(self) -> None:
+        self.members: dict[str, Member] = {}
+        self.steps: list[ListNews] = []
+        self.updates = ListUpdates(lambda: self.members, self.take)
+
+    def take(self, told: ListNews) -> None:
+        self.steps.append(told)
+        self.members = applied(self.members, told)
+
+
+@given(st.lists(news, max_size=5), st.integers(0, 3))
+def test_the_list_is_the_one_that_came_and_no_step_takes_more_than_a_batch(
+    lists: list[ListNews], steps_between: int
+) -> None:
+    taker = Taker()
+    plain: dict[str, Member] = {}
+    for told in lists:
+        plain = applied(plain, told)
+        taker.updates.put(told)
+        for _ in range(steps_between):
+            if taker.updates.pending:
+                taker.updates.step()
+    taker.updates.drain()
+    assert taker.members == plain
+    assert all(len(step.members) <= BATCH for step in taker.steps)
+    assert len(taker.steps) >= len(lists)  # each tells that discovery has answered
+
+
+def test_a_long_list_ends_servers_before_it_brings_new_ones() -> None:
+    taker = Taker()
+    before = [member(f"old{n}", "127.0.0.1:1") for n in range(100)]
+    taker.updates.put(ListNews(api.ListKind.FULL, before))
+    taker.updates.drain()
+    after = [member(f"new{n}", "127.0.0.1:1") for n in range(100)]
+    after += [member("old7", "127.0.0.1:1", state=api.State.DRAINING), before[8]]
+    taker.steps.clear()
+    taker.updates.put(ListNews(api.ListKind.FULL, after))
+    taker.updates.drain()
+    order = [m.entry for step in taker.steps for m in step.members]
+    readiness = [entry.ready for entry in order]
+    assert readiness == sorted(readiness) and len(order) == 199
+    assert "old8" not in {entry.server for entry in order}  # it has not changed
--- /dev/null
+++ b/tests/test_net_errors.py
@@ -0,0 +1,163 @@
+"""System calls fail as Linux documents: clients are let in, and what is owed is answered (issue 48)."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import os
+import socket
+from typing import Any
+
+import pytest
+
+from myrtlecourse import interface as api
+from myrtlecourse.net import listener as listeners
+from myrtlecourse.net.listener import OF_ONE_CLIENT
+from myrtlecourse.net.pool import OWN_SHORTAGE
+from tests.loopback import HIT, Router, command, read, run, spelled
+
+SHORTAGES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+UNREACHED = (errno.ECONNREFUSED, errno.ENETUNREACH, errno.EHOSTUNREACH, errno.ETIMEDOUT, errno.EACCES)
+
+
+class FailingSocket:
+    """A listening socket whose first calls of accept() fail."""
+
+    def __init__(self, listening: socket.socket, errors: list[int]) -> None:
+        self.listening = listening
+        self.errors = errors
+        self.calls = 0
+        self.options_fail = 0  # of the sockets accepted next
+
+    def accept(self) -> tuple[Any, object]:
+        self.calls += 1
+        if self.errors:
+            code = self.errors.pop(0)
+            raise OSError(code, os.strerror(code))
+        client, address = self.listening.accept()
+        if self.options_fail:
+            self.options_fail -= 1
+            return RefusesOptions(client), address
+        return client, address
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.listening, name)
+
+
+class RefusesOptions:
+    """An accepted socket whose connection is over before its options are set."""
+
+    def __init__(self, client: socket.socket) -> None:
+        self.client = client
+
+    def setsockopt(self, *_: object) -> None:
+        raise OSError(errno.EINVAL, "invalid argument")
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.client, name)
+
+
+async def ping(router: Router) -> bool:
+    client = await router.client()
+    client.write(command("PING"))
+    return bool(await client.resp() == b"PONG")
+
+
+@pytest.mark.parametrize("code", sorted({*OF_ONE_CLIENT, *SHORTAGES}), ids=lambda c: errno.errorcode[c])
+def test_a_failed_accept_leaves_the_others_let_in_and_does_not_spin(
+    code: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Out of descriptors, a loop that ended would leave the router deaf, and one that spun would stop it."""
+    monkeypatch.setattr(listeners, "ACCEPT_PAUSE", 0.01)
+
+    async def scenario() -> None:
+        async with Router() as router:
+            failing: Any = FailingSocket(router.listener.socket, [code, code])
+            router.listener.socket = failing
+            assert await ping(router) and await ping(router)
+            assert not failing.errors
+            assert (
+                failing.calls <= 2 + 2 * 2
+            )  # the failed ones, and for each client one that finds none behind it
+
+    run(scenario)
+
+
+@pytest.mark.parametrize("code", SHORTAGES, ids=lambda c: errno.errorcode[c])
+def test_a_shortage_is_waited_out(code: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    pause = 0.0123  # like no other
+    monkeypatch.setattr(listeners, "ACCEPT_PAUSE", pause)
+    pauses: list[float] = []
+    sleep = asyncio.sleep
+
+    async def noted(seconds: float) -> None:
+        pauses.append(seconds)
+        await sleep(seconds)
+
+    async def scenario() -> None:
+        async with Router() as router:
+            monkeypatch.setattr(asyncio, "sleep", noted)
+            failing: Any = FailingSocket(router.listener.socket, [code] * 5)
+            router.listener.socket = failing
+            assert await ping(router)
+            assert pauses.count(pause) == 5
+
+    run(scenario)
+
+
+def test_a_client_that_is_gone_as_it_is_accepted_costs_itself_alone() -> None:
+    async def scenario() -> None:
+        async with Router() as router:
+            failing: Any = FailingSocket(router.listener.socket, [])
+            failing.options_fail = 1
+            router.listener.socket = failing
+            gone = await router.client()
+            assert await gone.ended()
+            assert await ping(router)
+            assert len(router.listener.connections) + len(router.listener.coming) <= 1
+
+    run(scenario)
+
+
+async def with_failed_dial(router: Router, code: int) -> tuple[str, api.Status]:
+    """A read whose first dial fails: the server that it was for, and what its attempt ended with."""
+    loop: Any = asyncio.get_running_loop()
+    make = loop.create_connection
+    failed: list[str] = []
+    ended: list[api.Status] = []
+    finish = router.host.finish
+
+    async def dial(factory: Any, host: str, port: int, **more: Any) -> Any:
+        if not failed:
+            failed.append(spelled((host, port)))
+            raise OSError(code, os.strerror(code))
+        return await make(factory, host, port, **more)
+
+    def noted(taken: Any, attempt: Any, status: api.Status, value: bytes = b"") -> None:
+        ended.append(status)
+        finish(taken, attempt, status, value)
+
+    client = await router.client()
+    loop.create_connection = dial
+    router.host.finish = noted  # type: ignore[method-assign]
+    try:
+        client.write(read("r1"))
+        cache = await router.cache()
+        await cache.resp()
+        cache.write(HIT)
+        assert await client.resp() == b"value"
+    finally:
+        loop.create_connection = make
+    return next(n for n, p in router.caches.items() if p.address == failed[0]), ended[0]
+
+
+@pytest.mark.parametrize("code", sorted({*OWN_SHORTAGE, *UNREACHED}), ids=lambda c: errno.errorcode[c])
+def test_a_dial_that_fails_is_made_elsewhere_and_own_shortages_count_against_no_server(code: int) -> None:
+    async def scenario() -> None:
+        async with Router() as router:
+            name, status = await with_failed_dial(router, code)
+            own = code in OWN_SHORTAGE
+            assert status is (api.Status.MOOT if own else api.Status.CONNECT_FAILED)
+            assert router.host.router.servers[name].failures == (0 if own else 1)
+
+    run(scenario)
--- a/tests/test_net_host.py
+++ b/tests/test_net_host.py
@@ -3,8 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
-import socket
 import time
 from contextlib import suppress
 from dataclasses import replace
@@ -498,31 +496,6 @@
     run(scenario)
 
 
-def test_a_failed_accept_is_tried_again_without_a_spin(monkeypatch: pytest.MonkeyPatch) -> None:
-    """Out of descriptors, a loop that ended would leave the router deaf, and one that spun would stop it."""
-
-    async def scenario() -> None:
-        async with Router() as router:
-            loop = asyncio.get_running_loop()
-            accept, calls = loop.sock_accept, 0
-
-            async def failing(listener: socket.socket) -> tuple[socket.socket, object]:
-                nonlocal calls
-                calls += 1
-                if calls == 1:
-                    raise OSError(errno.EMFILE, "too many open files")
-                return await accept(listener)
-
-            monkeypatch.setattr(loop, "sock_accept", failing)
-            for _ in range(2):
-                client = await router.client()
-                client.write(command("PING"))
-                assert await client.resp() == b"PONG"
-            assert calls <= 4  # the failed one, one for each client, and the one that waits
-
-    run(scenario)
-
-
 def test_half_a_command_does_not_hold_up_the_end() -> None:
     """The router would be killed while it waits for a client that never goes on."""
 
--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -53,10 +53,12 @@
     """A fixed total of 150 points left most of a large fleet with one or two, or none."""
     d = Driver(settings())
     d.list(*(entry(f"s{i}", weight=1 + i % 2) for i in range(size)))
-    ring = d.router.ring.positions
+    points = list(d.router.ring.points())
     share = dict.fromkeys(d.router.servers, 0)
-    for before, p in zip([ring[-1] - 2**64, *ring], ring, strict=False):
-        share[d.router.ring.owners[p][0].entry.server] += p - before
+    before = points[-1][0] - 2**64
+    for position, server in points:
+        share[server.entry.server] += position - before
+        before = position
     for i, arc in enumerate(share.values()):
         fair = 2**64 * (1 + i % 2) / (size + size // 2)
         assert 0.6 < arc / fair < 1.5  # about four standard deviations with 64 points
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -377,10 +377,10 @@
 
 def order_of(d: Driver, key: str) -> list[str]:
     """The servers clockwise from a key, each once."""
-    r = d.router
-    start = next((i for i, p in enumerate(r.ring.positions) if p >= ring.ring_hash(key)[0]), 0)
-    around = r.ring.positions[start:] + r.ring.positions[:start]
-    return list(dict.fromkeys(r.ring.owners[p][0].entry.server for p in around))
+    points = list(d.router.ring.points())
+    start = next((i for i, (p, _) in enumerate(points) if p >= ring.ring_hash(key)[0]), 0)
+    around = points[start:] + points[:start]
+    return list(dict.fromkeys(server.entry.server for _, server in around))
 
 
 def test_a_key_goes_no_further_than_the_second_crowded_server() -> None:
@@ -626,7 +626,8 @@
     r = d.router
     assert not r.held and not r.attempts
     assert len(r.servers) <= 5 and len(r.line.queue) < 100
-    assert len(r.ring.owners) == len(r.ring.positions) <= 5 * tuning.POINTS
+    assert len(list(r.ring.points())) == r.ring.size <= 5 * tuning.POINTS
+    assert len(r.ring.servers) <= 16 and len(r.sizes.told) <= 5 and not r.unplaced
 
 
 def test_the_queue_for_the_origin_stays_bounded() -> None:
