Know how long a command lay unread also where the kernel does not tell

Need: the deadline given to a server counts from when its request came. No connection is without a retransmission time-out, so that a zero there marks fields that nobody filled; then the stop itself counts (the turns in which something came, or the overdue look of the listener).

--- a/myrtlecourse/net/clients.py
+++ b/myrtlecourse/net/clients.py
@@ -30,17 +30,24 @@
 DISCARDED = 256 * 1024  # bytes read in that time at the most: a bad client would send on at full speed
 ERROR_PAUSE = 0.1  # seconds for which a connection is not read after an error
 FRESH = 0.05  # seconds after which a hang-up may lie in the socket though it is read: turns can be long
-LAST_DATA_RECEIVED = 52  # the offset in tcp_info of a 32-bit number of milliseconds
+# offsets in tcp_info (Linux): microseconds after which it sends again, and milliseconds since data came
+RETRANSMISSION_TIMEOUT = slice(8, 12)
+LAST_DATA_RECEIVED = slice(52, 56)
 log = logging.getLogger(__name__)
 
 
-def data_age(client: socket.socket) -> float:
-    """Seconds since the last bytes came in on a connection, as its kernel tells (tcp_info, Linux), else 0."""
+def data_age(client: socket.socket) -> float | None:
+    """Seconds since the last bytes came in on a connection, as its kernel tells (tcp_info, Linux).
+
+    None when it does not tell: no connection is without a time-out, so that 0 is a field that was not filled.
+    """
     try:
-        info = client.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECEIVED + 4)
+        info = client.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECEIVED.stop)
     except OSError:
-        return 0.0  # it has just ended
-    return int.from_bytes(info[LAST_DATA_RECEIVED:], sys.byteorder) / 1000
+        return None  # it has just ended
+    if not any(info[RETRANSMISSION_TIMEOUT]):
+        return None
+    return int.from_bytes(info[LAST_DATA_RECEIVED], sys.byteorder) / 1000
 
 
 class Slot:
@@ -167,8 +174,11 @@
         turns.note()
         self.came_at = self.listener.loop.time()
         # the first may have lain in the backlog, and any while the loop was held up
-        hidden = not self.commands or turns.held_up()
-        self.waited = data_age(self.socket) if hidden else turns.waited()
+        if not self.commands or turns.held_up():
+            age = data_age(self.socket)
+            self.waited = turns.most_waited() if age is None else age
+        else:
+            self.waited = turns.waited()
         self.listener.idle.pop(self, None)
         # a closing one takes nothing more: nobody would hear that its client is gone
         takes = self._wanted() and not self.transport.is_closing()
--- a/myrtlecourse/net/turns.py
+++ b/myrtlecourse/net/turns.py
@@ -53,6 +53,15 @@
         """Whether something may have lain unread: the turn before was long, or the process stood still."""
         return self.before > LONG_TURN or time.monotonic() - self.due > LONG_TURN
 
+    def most_waited(self) -> float:
+        """Seconds for which what is in hand has waited at most, as far as this clock knows of stops.
+
+        Guards deadlines where nothing tells more: counted too short, servers are told of time that is over.
+        """
+        now = time.monotonic()
+        turns = now - self.began + self.before if self.running else self.before
+        return max(0.0, turns, now - self.due)
+
     def waited(self) -> float:
         """Seconds for which what is in hand has likely waited: half the turn before, and this one so far."""
         if not self.running:
--- /dev/null
+++ b/tests/test_net_turns.py
@@ -0,0 +1,89 @@
+"""How long what comes has lain unread: known after any stop, whether or not the kernel tells."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+
+import pytest
+
+from myrtlecourse.net import clients
+from myrtlecourse.net.clients import data_age
+from myrtlecourse.net.turns import Turns
+from tests.loopback import HIT, Router, read, run
+
+STOP = 0.25  # seconds for which the event loop is held up
+DEADLINE = 2.0
+
+
+async def told_after_a_stop(router: Router) -> float:
+    """Seconds that a server is told, by a read on a known connection that comes as a stop begins."""
+    client, cache = await router.begun()
+    cache.write(HIT)
+    assert await client.resp() == b"value"
+    loop = asyncio.get_running_loop()
+    await asyncio.sleep(0.15)  # the listener's look has been, and the next is due
+    raw = client.writer.get_extra_info("socket")
+    descriptor = socket.socket(fileno=socket.dup(raw.fileno()))
+
+    def stop() -> None:
+        descriptor.send(read("r2", info=f"c=read,t=x,d={DEADLINE * 1000:.0f}"))
+        time.sleep(STOP)
+
+    with descriptor:
+        loop.call_soon(stop)
+        message = await cache.resp()
+    cache.write(HIT)
+    assert await client.resp() == b"value"
+    return int(message[3].partition(b"d=")[2].partition(b",")[0]) / 1000
+
+
+@pytest.mark.parametrize("kernel_tells", [True, False])
+def test_a_stop_of_the_loop_is_taken_off_the_deadline(
+    kernel_tells: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Only turns in which a client was heard were clocked: any other stop was told to servers as time left."""
+    if not kernel_tells:
+        monkeypatch.setattr(clients, "data_age", lambda _: None)
+
+    async def scenario() -> None:
+        async with Router() as router:
+            told = await told_after_a_stop(router)
+            # what the clock can't know of is the part of a stop before the look that is overdue
+            assert told <= DEADLINE - STOP + (0.01 if kernel_tells else 0.15)
+            assert told > DEADLINE - 2 * STOP
+
+    run(scenario)
+
+
+def test_a_kernel_that_fills_nothing_in_tells_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        client = socket.create_connection(server.getsockname())
+        accepted, _ = server.accept()
+        with client, accepted:
+            client.send(b"x")
+            age = data_age(accepted)
+            assert age is not None and 0 <= age < 5.0
+
+    class Empty:
+        def getsockopt(self, *_: int) -> bytes:
+            return b"\x01" + bytes(55)
+
+    assert data_age(Empty()) is None  # type: ignore[arg-type]
+
+
+def test_a_process_that_stood_still_is_noticed_at_the_look_that_is_overdue(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    now = [100.0]
+    monkeypatch.setattr(time, "monotonic", lambda: now[0])
+    turns = Turns()
+    assert not turns.held_up()
+    turns.expect(0.1)
+    now[0] += 0.1
+    assert not turns.held_up()
+    now[0] += 0.4
+    assert turns.held_up() and turns.most_waited() == pytest.approx(0.4)
+    assert turns.beat() == pytest.approx(0.4)
+    assert not turns.held_up() and turns.longest == pytest.approx(0.4)
