--- a/tests/test_net_turns.py
+++ b/tests/test_net_turns.py
@@ -43,7 +43,7 @@
 def test_a_stop_of_the_loop_is_taken_off_the_deadline(
     kernel_tells: bool, monkeypatch: pytest.MonkeyPatch
 ) -> None:
-    """Only turns in which a client was heard were clocked: any other stop was told to servers as time left."""
+    """Only turns in which a client was heard were clocked: other stops were told to servers as time left."""
     if not kernel_tells:
         monkeypatch.setattr(clients, "data_age", lambda _: None)
 
