--- a/myrtlecourse/net/clients.py
+++ b/myrtlecourse/net/clients.py
@@ -30,9 +30,10 @@
 DISCARDED = 256 * 1024  # bytes read in that time at the most: a bad client would send on at full speed
 ERROR_PAUSE = 0.1  # seconds for which a connection is not read after an error
 FRESH = 0.05  # seconds after which a hang-up may lie in the socket though it is read: turns can be long
-# offsets in tcp_info (Linux): microseconds after which it sends again, and milliseconds since data came
-RETRANSMISSION_TIMEOUT = slice(8, 12)
-LAST_DATA_RECEIVED = slice(52, 56)
+# offsets in tcp_info (Linux) of numbers of 32 bits
+RETRANSMISSION_TIMEOUT = 8  # microseconds after which it sends again
+LAST_DATA_RECEIVED = 52  # milliseconds since data came
+NUMBER = 4  # bytes
 log = logging.getLogger(__name__)
 
 
@@ -42,12 +43,12 @@
     None when it does not tell: no connection is without a time-out, so that 0 is a field that was not filled.
     """
     try:
-        info = client.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECEIVED.stop)
+        info = client.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECEIVED + NUMBER)
     except OSError:
         return None  # it has just ended
-    if not any(info[RETRANSMISSION_TIMEOUT]):
+    if not any(info[RETRANSMISSION_TIMEOUT : RETRANSMISSION_TIMEOUT + NUMBER]):
         return None
-    return int.from_bytes(info[LAST_DATA_RECEIVED], sys.byteorder) / 1000
+    return int.from_bytes(info[LAST_DATA_RECEIVED:], sys.byteorder) / 1000
 
 
 class Slot:
