Let a voter that started later bear the lease of a holder that was there, and take its offer

Cause: core.py _on_beat and _on_offer compared terms alone. A duty's terms begin after the process's start, so that a voter which started later was in a higher term that nobody had voted in. Change: such a term says nothing against a holder, until the voter has voted or learned another. The test of a move waits until the named router may hold at all, as it is named only then by an operator who looks; what it asserts is as before.

--- a/myrtlecourse/election/core.py
+++ b/myrtlecourse/election/core.py
@@ -70,6 +70,7 @@
         """
         self.settings = settings
         self.saved = saved
+        self.first_term = saved.term if not saved.voted else -1  # that it began in, having voted in none
         self.random = random.Random(seed)
         self.now = now
         self.out: list[Action] = []
@@ -196,6 +197,14 @@
 
     # Words
 
+    def _only_began(self) -> bool:
+        """Whether nothing but its own start has brought this voter to its term.
+
+        Then a lower term says nothing against a holder: terms may begin after the time of the start, and a
+        voter that started later would deny one that was there before, until the next election.
+        """
+        return self.term == self.first_term and not self.saved.voted
+
     def _bound_to(self, other_than: str) -> bool:
         """Whether a word given to another than this voter still holds."""
         return self.now < self.word_until and self.word[0] != other_than
@@ -257,7 +266,7 @@
             self._learn(offer.term)
             if not self.settings.votes:
                 self._try()
-        elif offer.term >= self.term:
+        elif offer.term >= self.term or self._only_began():
             if self.word == (sender, offer.term):
                 self.word_until = -math.inf
             if not self._bound_to(""):
@@ -303,7 +312,8 @@
     def _on_beat(self, sender: str, beat: Beat) -> None:
         if not self.settings.votes:
             return
-        if beat.term < self.term or self._bound_to(sender) or self.role in (Role.HOLDER, Role.LEAVING):
+        old = beat.term < self.term and not self._only_began()
+        if old or self._bound_to(sender) or self.role in (Role.HOLDER, Role.LEAVING):
             self.out.append(Tell(sender, Deny(self.term)))
             return
         if self.now < self.quiet_until:
--- a/tests/test_address.py
+++ b/tests/test_address.py
@@ -371,6 +371,15 @@
             await asyncio.sleep(0.01)
         return name
 
+    async def settled(self, holder: str) -> None:
+        """Wait until all others have given their word to the holder: then each of them may hold, too.
+
+        A router gives none before a lease has passed since its start, and settles sooner than that.
+        """
+        for name in THREE:
+            while name != holder and (await status(self.routers[name]))["word_given_to"] != holder:
+                await asyncio.sleep(0.01)
+
     async def client(self) -> Link:
         return Link(*await asyncio.open_connection(*self.switch.address))
 
@@ -438,6 +447,7 @@
         async with places(tmp_path, duty) as there:
             first = await there.holder()
             to = next(n for n in THREE if n != first)
+            await there.settled(first)
             busy = await there.client()
             there.here.slow["long"] = asyncio.Event()
             busy.write(read("long"))
@@ -450,6 +460,7 @@
             there.here.slow["long"].set()
             assert await busy.resp() == b"value"  # what was taken ends before the address goes
             assert await there.holder(first) == to
+            await there.settled(to)
             assert (await there.routers[to].call("PUT", "out-of-service"))[0] == 200
             third = await there.holder(to)
             client = await there.client()
