--- a/deploy/compiled.py
+++ b/deploy/compiled.py
@@ -27,6 +27,7 @@
     "load",
     "scale",
     "sim",
+    "soak",
     "spread/commands.py",
     "zones/commands.py",
 )
--- a/myrtlecourse/audit/auditor.py
+++ b/myrtlecourse/audit/auditor.py
@@ -24,6 +24,8 @@
 REMEMBERED = 60.0  # seconds beyond a request's window and deadline
 TELLING = 0.05  # seconds that sockets add to a limit
 WAKING = 0.5  # seconds after a process was stopped in which it reads what had come meanwhile
+AFTER_END = 0.1  # seconds at most, after its client has gone, in which an attempt may begin
+TOLD_SLACK = 0.15  # seconds that a box may be told over what is left to the client
 INFORMED = 2 / 3  # of what pushed a box over, from routers that were told of its start: a breach
 
 RULES = {
@@ -32,6 +34,7 @@
     "answered_twice": "no request is lost",
     "foreign": "no request is lost",
     "sent_after_end": "no request is lost",
+    "told_too_long": "no request is lost",
     "ran_twice": "nothing takes effect twice",
     "repeated": "nothing takes effect twice",
     "refused_after_send": "nothing takes effect twice",
@@ -254,9 +257,11 @@
         life = self._life(what.id, what.router, what.at)
         life.effect = life.effect or what.effect
         ended = life.ended is not None and not self._stood(life, what.began - WAKING)
-        if life.ended is not None and ended and what.began > life.ended + self.rules.answer_slack:
+        slack = min(self.rules.answer_slack, AFTER_END)
+        if life.ended is not None and ended and what.began > life.ended + slack:
             after = f"{what.began - life.ended:.3f} s after its end"
             self._breach("sent_after_end", what.began, what.router, what.id, what.box, after)
+        self._judge_told(life, what)
         earlier = life.may_have_run()
         if earlier is not None and what.effect != "free":
             self._came_close("repeated", what.began - earlier.at, what.window)
@@ -272,6 +277,16 @@
                 self._breach("repeated", what.began, what.router, what.id, what.box, detail)
         life.attempts.append(Attempt(what.at, what.box, what.group))
 
+    def _judge_told(self, life: Life, what: seen.Sent) -> None:
+        """Judge for how long a box was told that its answer is waited for."""
+        if not what.until or life.deadline is None or self._stood(life, what.began):
+            return
+        over = what.until - life.deadline
+        self._came_close("told_too_long", over, TOLD_SLACK)
+        if over > TOLD_SLACK + TELLING:
+            detail = f"{over:.3f} s longer than its client waits"
+            self._breach("told_too_long", what.began, what.router, what.id, what.box, detail)
+
     def _ran(self, what: seen.Ran) -> None:
         life = self._life(what.id, "", what.at)
         life.ran += 1
--- a/myrtlecourse/audit/observations.py
+++ b/myrtlecourse/audit/observations.py
@@ -73,6 +73,7 @@
     group: str = ""  # of the servers that drop each other's repeats
     window: float = 0.0
     key: str = ""
+    until: float = 0.0  # when the box was told that the router stops waiting; 0: not known
 
 
 class NeverRan(Seen, frozen=True, tag="never_ran"):
--- a/myrtlecourse/cli.py
+++ b/myrtlecourse/cli.py
@@ -14,6 +14,7 @@
     from myrtlecourse.scale.commands import scale
     from myrtlecourse.sim.commands import search, sim
     from myrtlecourse.sim.duty_commands import search_duties
+    from myrtlecourse.soak.commands import soak
     from myrtlecourse.spread.commands import spread
     from myrtlecourse.zones.commands import fleet_status
 except ImportError as e:  # the plain router installs none of the tools' libraries
@@ -43,3 +44,4 @@
 main.add_command(experiment)
 main.add_command(expect)
 main.add_command(scale)
+main.add_command(soak)
--- a/myrtlecourse/fleet/box_server.py
+++ b/myrtlecourse/fleet/box_server.py
@@ -59,6 +59,7 @@
         group,
         kind.window if request.idempotency else 0.0,
         request.idempotency,
+        began + request.time_left,
     )
 
 
--- a/myrtlecourse/fleet/faults.py
+++ b/myrtlecourse/fleet/faults.py
@@ -47,7 +47,9 @@
     chance = random.Random(f"{scenario.seed} faults")
     found: list[Step] = []
     for number, fault in enumerate(scenario.faults):
-        if isinstance(fault, told.Restart | told.Upgrade | told.Stall):
+        if isinstance(fault, told.Reload | told.Crowd):
+            found += _from_outside(fault)
+        elif isinstance(fault, told.Restart | told.Upgrade | told.Stall):
             found += _of_router(fault, number)
         elif isinstance(fault, told.Split | told.Unreached):
             found += _of_some(scenario, fault, number)
@@ -106,6 +108,16 @@
             return [Step(fault.at, "kill" if fault.kill else "restart", target)]
 
 
+def _from_outside(fault: told.Reload | told.Crowd) -> list[Step]:
+    """What comes to a router's process: signals, or a crowd."""
+    target = f"router-{fault.router}"
+    if isinstance(fault, told.Reload):
+        return [Step(fault.at + i * fault.pause, "reload", target) for i in range(fault.times)]
+    silent = round(fault.clients * (1 - fault.begun))
+    crowd = Step(fault.at, "crowd", target, float(silent), fault.seconds)
+    return [crowd, Step(fault.at, "crowd_begun", target, float(fault.clients - silent), fault.seconds)]
+
+
 def _boxes(scenario: told.Scenario, fault: told.Silence | told.Crash) -> list[str]:
     if fault.box is not None:
         return [fault.box]
--- a/myrtlecourse/fleet/routers.py
+++ b/myrtlecourse/fleet/routers.py
@@ -21,7 +21,9 @@
 
 COMMAND = f"{shlex.quote(sys.executable)} -m myrtlecourse"
 START_TIME = 30.0  # seconds to listen
-END_TIME = 4.0  # seconds after SIGTERM: the longest deadline and a little more (PROTOCOL)
+LONGEST_DEADLINE = 3.0  # seconds, of those that count for a router's end (PROTOCOL)
+KILLED = 0.7  # seconds after SIGTERM and the longest deadline, at which SIGKILL comes at the earliest
+HALF_A_COMMAND = b"*4\r\n$5\r\nC.GET\r\n$3\r\nke"
 LISTENING = b"listening on "
 CALLED = b"operators call "
 CALL_TIME = 1.0  # seconds in which a call is owed its answer
@@ -51,6 +53,7 @@
         self.older: asyncio.subprocess.Process | None = None  # that it took over from
         self.address: tuple[str, int] = ("127.0.0.1", 0)
         self.wanted = False  # it is to run
+        self.end_time = LONGEST_DEADLINE + KILLED  # seconds after SIGTERM until SIGKILL
         self.crashes = 0
         self.temporary = folder / f"{name}.tmp"  # common to its processes
         self.listening: socket.socket | None = None  # held for them, where they are started beside themselves
@@ -61,6 +64,8 @@
     def configure(self, configuration: dict[str, Any]) -> None:
         """What the platform tells it, with the address that it has had before."""
         listen = f"{self.address[0]}:{self.address[1]}"
+        longest = max(each["giveUp"] for each in configuration["settings"]["classes"])
+        self.end_time = min(LONGEST_DEADLINE, longest) + KILLED
         self.config.write_text(json.dumps(configuration | {"listen": listen}))
 
     def hold_socket(self) -> None:
@@ -138,7 +143,7 @@
         if old is not None and old.returncode is None:
             old.terminate()
             try:
-                await asyncio.wait_for(old.wait(), END_TIME)
+                await asyncio.wait_for(old.wait(), self.end_time)
             except TimeoutError:
                 old.kill()
                 await old.wait()
@@ -155,6 +160,27 @@
         if self.process is not None and self.process.returncode is None:
             self.process.send_signal(signal.SIGSTOP if stopped else signal.SIGCONT)
 
+    def reload(self) -> None:
+        """Tell its process to read its configuration anew."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(signal.SIGHUP)
+
+    async def crowd(self, clients: int, begun: bool, seconds: float) -> None:
+        """Clients that come all at once, say nothing or half a command, and stay for so long."""
+        come = [self._idle_client(begun, seconds) for _ in range(clients)]
+        await asyncio.gather(*come, return_exceptions=True)
+
+    async def _idle_client(self, begun: bool, seconds: float) -> None:
+        async with asyncio.timeout(seconds):
+            reader, writer = await asyncio.open_connection(*self.address)
+            try:
+                if begun:
+                    writer.write(HALF_A_COMMAND)
+                while await reader.read(1024):
+                    pass
+            finally:
+                writer.close()
+
     async def end(self, kill: bool) -> None:
         """Kill it, or ask it to end; SIGKILL comes once its time is over."""
         if self.process is None or self.process.returncode is not None:
@@ -166,7 +192,7 @@
         else:
             self.process.terminate()
         try:
-            await asyncio.wait_for(self.process.wait(), END_TIME)
+            await asyncio.wait_for(self.process.wait(), self.end_time)
         except TimeoutError:
             self.process.kill()
             await self.process.wait()
@@ -224,6 +250,12 @@
         router = self.each[int(step.target.rpartition("-")[2])]
         if not router.wanted:
             return  # it is ending or starting already
+        if step.do == "reload":
+            router.reload()
+            return
+        if step.do in ("crowd", "crowd_begun"):
+            self.soon(router.crowd(round(step.value), step.do == "crowd_begun", step.lasts))
+            return
         if step.do == "upgrade":
             self.soon(self._upgrade(router))
             return
--- a/myrtlecourse/fleet/scenario.py
+++ b/myrtlecourse/fleet/scenario.py
@@ -233,6 +233,25 @@
     holder: str | None = None  # who holds this duty by then
 
 
+class Reload(Struct, forbid_unknown_fields=True, frozen=True, tag="reload", tag_field="what"):
+    """A router is told to read its configuration anew (SIGHUP), several times in quick succession."""
+
+    at: Time
+    router: Annotated[int, Meta(ge=0)]
+    times: Annotated[int, Meta(ge=1, le=1000)] = 1
+    pause: Time = 0.02  # between two
+
+
+class Crowd(Struct, forbid_unknown_fields=True, frozen=True, tag="crowd", tag_field="what"):
+    """Clients come to a router all at once, say nothing or stop within a command, and stay for a while."""
+
+    at: Time
+    seconds: Positive
+    router: Annotated[int, Meta(ge=0)]
+    clients: Annotated[int, Meta(ge=1, le=5000)] = 200
+    begun: Share = 0.5  # of them that send half a command
+
+
 class Split(Struct, forbid_unknown_fields=True, frozen=True, tag="split", tag_field="what"):
     """Datagrams between some routers and the others are lost; all servers stay within reach."""
 
@@ -289,6 +308,8 @@
     | Stall
     | Split
     | Unreached
+    | Reload
+    | Crowd
 )
 
 
@@ -346,7 +367,7 @@
         for zone in (getattr(fault, "zone", None), getattr(fault, "boxes", None)):
             if zone is not None and zone not in self.zones:
                 raise ValueError(f"{where}: no zone is named {zone!r}")
-        if isinstance(fault, Restart | Upgrade | Stall):
+        if isinstance(fault, Restart | Upgrade | Stall | Reload | Crowd):
             self._check_router(where, fault.router, getattr(fault, "holder", None))
         elif isinstance(fault, Split) and fault.holder is not None:
             self._check_router(where, None, fault.holder)
--- a/myrtlecourse/sim/world.py
+++ b/myrtlecourse/sim/world.py
@@ -174,7 +174,7 @@
             router = self.routers[int(step.target.rpartition("-")[2])]
             if step.do in ("stall", "go_on"):
                 self._stall(router, step)
-            elif step.do != "upgrade":
+            elif step.do in ("restart", "kill"):  # the others are the host's matter, not the decisions'
                 self._restart(router, step.do == "kill")
         elif step.target == PEERS:
             part(self.ways, self.layout.routers, step)
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,115 @@
+"""Random days: drawn the same each time, within bounds, kept by routers, and broken by wrong ones."""
+
+from __future__ import annotations
+
+import shlex
+import subprocess
+import sys
+from collections import Counter
+from dataclasses import replace
+from pathlib import Path
+
+import msgspec
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from myrtlecourse.fleet import scenario as fleet
+from myrtlecourse.fleet.faults import steps
+from myrtlecourse.soak.draw import MOST_TROUBLES, QUIET, SystemFaults, draw
+from myrtlecourse.soak.library import compiled, loaded
+from myrtlecourse.soak.play import play_day
+from tests import soak_wrong
+
+SEEDS = (2, 3, 4, 11, 13, 17, 19, 23)  # played in each run of the tests; others by `myrtlecourse soak`
+SECONDS = 9.0
+CALLS = """
+import errno, socket, sys, time
+server = socket.create_server(("127.0.0.1", 0))
+server.settimeout(5.0)
+failed = set()
+for _ in range(300):
+    client = None
+    try:
+        client = socket.socket()
+        client.settimeout(5.0)
+        client.connect(server.getsockname())
+        while True:
+            try:
+                accepted, _ = server.accept()
+                break
+            except OSError as e:
+                failed.add("accept")
+        accepted.close()
+    except OSError as e:
+        failed.add("connect or socket")
+    if client is not None:
+        client.close()
+print(sorted(failed), round(time.time() - float(sys.argv[1])))
+"""
+
+
+@settings(max_examples=60)
+@given(st.integers(0, 10**9), st.floats(6.0, 60.0))
+def test_a_day_is_the_same_each_time_and_within_bounds(seed: int, seconds: float) -> None:
+    day = draw(seed, seconds)
+    assert day == draw(seed, seconds)
+    again = msgspec.convert(msgspec.to_builtins(day.scenario), fleet.Scenario)
+    assert again == day.scenario  # the schema's own checks hold
+    assert 3 <= len(day.scenario.faults) <= MOST_TROUBLES
+    assert all(step.at >= QUIET for step in steps(day.scenario))
+    assert day.profile.seconds < seconds
+    assert str(len(day.scenario.boxes())) in day.tells()
+
+
+def test_all_troubles_are_drawn() -> None:
+    found: Counter[str] = Counter()
+    for seed in range(200):
+        found.update(type(f).__name__ for f in draw(seed, 14.0).scenario.faults)
+    assert {"Crowd", "Reload", "Restart", "Stall", "Replace", "DiscoveryAway"} <= found.keys()
+    assert min(found.values()) > 20
+
+
+@pytest.fixture(scope="module")
+def library(tmp_path_factory: pytest.TempPathFactory) -> Path:
+    return compiled(tmp_path_factory.mktemp("library"))
+
+
+@pytest.mark.processes
+def test_the_library_fails_calls_and_steps_the_clock(library: Path) -> None:
+    faults = SystemFaults(per_million=100_000, steps=((0.0, 3600.0),))
+    python = shlex.join([sys.executable, "-c", CALLS])
+    command = loaded(python, library, faults, 5).replace("SOAK_AFTER=1.0", "SOAK_AFTER=0")
+    now = float(subprocess.run(["date", "+%s"], capture_output=True, check=True).stdout)
+    out = subprocess.run(
+        [*shlex.split(command), str(now)], capture_output=True, text=True, timeout=60, check=True
+    ).stdout
+    assert "'accept'" in out and "'connect or socket'" in out
+    assert 3595 <= int(out.split()[-1]) <= 3605
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("seed", SEEDS)
+def test_routers_keep_the_rules_on_random_days(seed: int, library: Path, tmp_path: Path) -> None:
+    result = play_day(draw(seed, SECONDS), tmp_path / "day", library)
+    assert result.kept, result.line()
+    assert result.counts["served"] >= 0.5 * result.counts["scheduled"] > 0
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize(
+    ("way", "breach"),
+    [("ends_at_once", "lost"), ("misses_deadlines", "told_too_long"), ("forgets_drains", "sent_to_drained")],
+)
+def test_a_wrong_router_is_caught(way: str, breach: str, library: Path, tmp_path: Path) -> None:
+    assert way in {w.__name__ for w in soak_wrong.WAYS}
+    day = draw(1, SECONDS)
+    faults: tuple[fleet.Fault, ...] = (
+        fleet.Freeze(2.0, "std-0", 3.0),
+        fleet.Replace(2.0, box="std-1", drain=4.0),
+        *(fleet.Restart(3.0 + n, n % day.scenario.routers) for n in range(4)),
+    )
+    day = replace(day, scenario=msgspec.structs.replace(day.scenario, faults=faults))
+    command = shlex.join([sys.executable, "-m", "tests.soak_wrong", way])
+    result = play_day(day, tmp_path / "day", None, command)
+    assert breach in result.breaches, result.line()
--- a/tests/test_zone_exit.py
+++ b/tests/test_zone_exit.py
@@ -17,7 +17,7 @@
 import pytest
 
 from myrtlecourse.audit import observations as seen
-from myrtlecourse.fleet.routers import COMMAND, END_TIME, Router, zones_left
+from myrtlecourse.fleet.routers import COMMAND, KILLED, LONGEST_DEADLINE, Router, zones_left
 from myrtlecourse.fleet.scenario import Scenario
 from myrtlecourse.fleet.session import Outcome, play, stand_up
 from myrtlecourse.load.profile import Profile
@@ -214,7 +214,7 @@
     played = Played(tmp_path, scenario(faults))
     played.kept()
     after = [at for at, zones in played.left["router-0"] if at > AT + 2.0 and zones == SOUTH]
-    assert len(after) == 1 and after[0] < AT + 2.0 + END_TIME + SOON, played.left
+    assert len(after) == 1 and after[0] < AT + 2.0 + LONGEST_DEADLINE + KILLED + SOON, played.left
 
 
 TIERS = {"regions": {"coast": ["north", "south"]}, "own_region": 0.3, "elsewhere": 0.1}
