--- /dev/null
+++ b/tests/test_folder_faults.py
@@ -0,0 +1,106 @@
+"""Lasting folders that are full, broken or half written: orders stay as they were, and the router goes on."""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import fcntl
+import os
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+
+from myrtlecourse.config import read_config
+from myrtlecourse.ops.lives import Lives
+from myrtlecourse.ops.orders import OrdersError
+from myrtlecourse.ops.store import Store
+from myrtlecourse.service import Service
+from tests.loopback import run
+from tests.test_main import GOOD
+
+FULL = OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+BROKEN = OSError(errno.EIO, os.strerror(errno.EIO))
+
+
+def ban(store: Store, name: str) -> None:
+    asyncio.run(store.change(lambda orders: orders.offline(name, 1.0)))
+
+
+def write_half(path: Path, text: bytes) -> int:
+    with path.open("wb") as file:
+        file.write(text[: len(text) // 2])
+    raise FULL
+
+
+def fail(error: OSError) -> Callable[..., Any]:
+    def failing(*_: object, **__: object) -> Any:
+        raise error
+
+    return failing
+
+
+@pytest.mark.parametrize("what", ["write_bytes", "rename"])
+@pytest.mark.parametrize("error", [FULL, BROKEN], ids=["ENOSPC", "EIO"])
+def test_an_order_that_can_t_be_kept_is_refused_and_nothing_is_half_done(
+    what: str, error: OSError, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    store = Store(tmp_path)
+    ban(store, "a")
+    kept = store.orders
+    with monkeypatch.context() as patch:
+        patch.setattr(Path, what, write_half if what == "write_bytes" and error is FULL else fail(error))
+        with pytest.raises(OrdersError, match="can't be kept"):
+            ban(store, "b")
+    assert store.orders == kept
+    assert {p.name for p in tmp_path.iterdir()} == {"myrtlecourse-orders.json", "myrtlecourse-orders.lock"}
+    other = Store(tmp_path)
+    assert other.refresh() and other.orders == kept  # what was kept before is whole
+    ban(store, "b")  # and the folder is used again once it can be
+    assert other.refresh() and set(other.orders.bans) == {"a", "b"}
+
+
+def test_orders_are_kept_where_locks_can_t_be_had(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(fcntl, "flock", fail(OSError(errno.ENOLCK, "no locks available")))
+    store = Store(tmp_path)
+    ban(store, "a")
+    assert Store(tmp_path).refresh()
+
+
+@pytest.mark.parametrize("method", ["others", "claim"])
+def test_a_router_starts_and_shares_its_limits_beside_a_broken_folder(
+    method: str, tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """An error on the folder at a start ended the new process of an upgrade."""
+
+    async def scenario() -> None:
+        with monkeypatch.context() as patch:
+            patch.setattr(Lives, method, fail(BROKEN))
+            service = Service(read_config(orjson.dumps(GOOD)), "", 99, tmp_path)
+        assert service.lives is not None
+        assert service.descriptors.total == service.config.sockets - 32
+        assert service.windows.budget > 0
+        service.lives.end()
+
+    run(scenario)
+
+
+def test_the_last_known_processes_count_while_the_folder_can_t_be_read(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario() -> None:
+        older = Lives(tmp_path)
+        older.claim(100)
+        service = Service(read_config(orjson.dumps(GOOD)), "", 99, tmp_path)
+        before = service.descriptors.total
+        assert before < service.config.sockets - 100
+        monkeypatch.setattr(Lives, "others", fail(BROKEN))
+        service._share()
+        assert service.descriptors.total == before
+        assert service.lives is not None
+        service.lives.end()
+        older.end()
+
+    run(scenario)
