Hold the last entry of a server that a list names twice, and tell a batch again that failed

A list may name a server twice (drained, then gone): batches put what ends first, and an older entry came after it; in one short list a server that was struck out was entered in the books again. A batch that the decisions could not take was lost, where a list that failed before was asked for again. accept() that fails for good with an error of one connection (EPERM) was called without a pause.

--- a/myrtlecourse/net/host.py
+++ b/myrtlecourse/net/host.py
@@ -154,13 +154,20 @@
 
     def _take_batch(self) -> None:
         self.turns.note()
+        loop = asyncio.get_running_loop()
         try:
             self.updates.step()
-        finally:
-            # guards the list: a fault in one batch must not end the others
-            self.updating = self.updates.pending
-            if self.updating:
-                asyncio.get_running_loop().call_soon(self._take_batch)
+        except Exception:
+            # guards drains: what the decisions could not take in part they are told again as a whole
+            log.exception("a batch of the list")
+            loop.call_soon(self._tell_again)
+        self.updating = self.updates.pending
+        if self.updating:
+            loop.call_soon(self._take_batch)
+
+    def _tell_again(self) -> None:
+        """Tell the decisions the list as it is held."""
+        self.post(api.ServerList(api.ListKind.FULL, tuple(self._entry(m) for m in self.members.values())))
 
     def take_list(self, news: ListNews) -> None:
         """Enter news; costs what it names, and for a whole list what it ends."""
--- a/myrtlecourse/net/list_updates.py
+++ b/myrtlecourse/net/list_updates.py
@@ -25,10 +25,13 @@
 
 
 def changed(held: Mapping[str, Member], news: ListNews) -> list[Member]:
-    """What news changes of the list that is held; what may not be sent to any more comes first."""
-    found = [m for m in news.members if held.get(m.entry.server) != m]
+    """What news changes of the list that is held; what may not be sent to any more comes first.
+
+    Of a server that is named more than once the last entry holds.
+    """
+    named = {m.entry.server: m for m in news.members}
+    found = [m for name, m in named.items() if held.get(name) != m]
     if news.kind is not api.ListKind.DELTA:
-        named = {m.entry.server for m in news.members}
         found += [gone(m) for name, m in held.items() if name not in named]
     found.sort(key=lambda m: m.entry.ready)
     return found
--- a/myrtlecourse/net/listener.py
+++ b/myrtlecourse/net/listener.py
@@ -86,6 +86,7 @@
         self.awaited: dict[ClientConnection, float] = {}  # a first command, or the rest of one
         self.idle: dict[ClientConnection, float] = {}
         self.waiting = asyncio.Event()  # clients, to be accepted
+        self.failed_accepts = 0  # in a row
         self.changed = asyncio.Event()  # a connection has ended or fallen idle
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.tasks: list[asyncio.Task[None]] = []
@@ -147,10 +148,13 @@
         except BlockingIOError:
             return False
         except OSError as e:
-            if e.errno not in OF_ONE_CLIENT:
+            self.failed_accepts += 1
+            # guards the core: one that fails for good would be called again and again
+            if e.errno not in OF_ONE_CLIENT or self.failed_accepts % ACCEPTS == 0:
                 raise
             bounded.log(logging.INFO, "a client's connection ended before it was accepted: %s", e)
             return True
+        self.failed_accepts = 0
         if self.holds is not None and not self.holds():
             # guards against a process that was stopped: what waits came for the holder that it was
             client.close()
--- a/myrtlecourse/policy/members.py
+++ b/myrtlecourse/policy/members.py
@@ -191,7 +191,7 @@
     def _enter(self, server: Server) -> bool:
         """Enter a server where it belongs by now; whether others of its kind count for more with it."""
         name = server.entry.server
-        if not server.ready:
+        if not server.ready or self.servers.get(name) is not server:
             self._retire(server)
         elif not server.cache:
             self.origins[name] = server
--- a/tests/test_list_updates.py
+++ b/tests/test_list_updates.py
@@ -19,14 +19,10 @@
 )
 
 
-def unique(members: list[Member]) -> list[Member]:
-    return list({m.entry.server: m for m in members}.values())
-
-
 news = st.builds(
     ListNews,
     st.sampled_from([api.ListKind.DELTA, api.ListKind.FULL]),
-    st.lists(entries, max_size=130).map(unique),
+    st.lists(entries, max_size=130),  # a server may be named again: the last entry holds
 )
 
 
@@ -86,3 +82,14 @@
     readiness = [entry.ready for entry in order]
     assert readiness == sorted(readiness) and len(order) == 199
     assert "old8" not in {entry.server for entry in order}  # it has not changed
+
+
+def test_of_a_server_named_twice_in_a_long_list_the_last_entry_holds() -> None:
+    """Drains came first in the order of batches, and an older entry of the same server after them."""
+    taker = Taker()
+    many = [member(f"s{n}", "127.0.0.1:1") for n in range(2 * BATCH)]
+    drains = [member(m.entry.server, "127.0.0.1:1", state=api.State.DRAINING) for m in many]
+    taker.updates.put(ListNews(api.ListKind.DELTA, [*many, *drains, many[3]]))
+    taker.updates.drain()
+    ready = {name for name, each in taker.members.items() if each.entry.ready}
+    assert ready == {"s3"} and len(taker.members) == len(many)
--- a/tests/test_net_errors.py
+++ b/tests/test_net_errors.py
@@ -105,6 +105,23 @@
     run(scenario)
 
 
+def test_a_failure_that_lasts_is_not_tried_again_without_a_pause(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(listeners, "ACCEPT_PAUSE", 0.02)
+
+    async def scenario() -> None:
+        async with Router() as router:
+            failing: Any = FailingSocket(router.listener.socket, [errno.EPERM] * 100_000)
+            router.listener.socket = failing
+            client = await router.client()
+            await asyncio.sleep(0.2)
+            assert 0 < failing.calls <= 12 * listeners.ACCEPTS
+            failing.errors.clear()
+            client.write(command("PING"))
+            assert await client.resp() == b"PONG"
+
+    run(scenario)
+
+
 def test_a_client_that_is_gone_as_it_is_accepted_costs_itself_alone() -> None:
     async def scenario() -> None:
         async with Router() as router:
--- a/tests/test_net_host.py
+++ b/tests/test_net_host.py
@@ -14,7 +14,21 @@
 from myrtlecourse.net import host as hosts
 from myrtlecourse.net.clients import MAX_PIPELINED
 from myrtlecourse.net.members import Member
-from tests.loopback import HIT, MISS, SETTINGS, Link, Router, book, command, http, needs_sources, read, run
+from tests.loopback import (
+    HIT,
+    MISS,
+    SETTINGS,
+    Link,
+    Router,
+    book,
+    command,
+    http,
+    member,
+    needs_sources,
+    read,
+    run,
+    until,
+)
 
 
 def error(message: object) -> str:
@@ -770,3 +784,29 @@
             await stopping
 
     run(scenario)
+
+
+@needs_sources
+def test_a_batch_that_the_decisions_could_not_take_is_told_again(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A server that drains would be sent to for as long as its entry does not change."""
+
+    async def scenario() -> None:
+        async with Router() as router:
+            host, decide = router.host, router.host.router.handle
+            failed: list[api.Event] = []
+
+            def failing(now: float, event: api.Event) -> list[api.Action]:
+                if isinstance(event, api.ServerList) and not failed:
+                    failed.append(event)
+                    raise RuntimeError("at fault")
+                return decide(now, event)
+
+            monkeypatch.setattr(host.router, "handle", failing)
+            many = [member(f"m{n}", "127.0.0.1:1") for n in range(60)]
+            drains = member("a", router.caches["a"].address, state=api.State.DRAINING)
+            host.list_told(api.ListKind.DELTA, [*many, drains])
+            await until(lambda: bool(failed) and not host.updating)
+            await until(lambda: "a" not in host.router.caches)
+            assert set(host.router.caches) == {"b", *(f"m{n}" for n in range(60))}
+
+    run(scenario)
--- a/tests/test_ring_scale.py
+++ b/tests/test_ring_scale.py
@@ -137,3 +137,18 @@
         d.wait(0.02)
         looked = {s for s in d.router.caches.values() if s.failures >= tuning.FAILURES}
         assert d.router.failing == looked
+
+
+def test_of_a_server_named_twice_in_one_list_the_last_entry_holds() -> None:
+    """It was entered in the books again after it had been struck out, and got requests that nobody served."""
+    d = Driver(conf())
+    d.list(entry("a"))
+    d.list(entry("b"), entry("b", state=api.State.GONE), kind=api.ListKind.DELTA)
+    d.list(
+        entry("c", state=api.State.DRAINING),
+        entry("c"),
+        entry("c", state=api.State.DRAINING),
+        kind=api.ListKind.DELTA,
+    )
+    assert set(d.router.caches) == {"a"} and set(d.router.servers) == {"a", "c"}
+    assert {server.entry.server for _, server in d.router.ring.points()} == {"a"}
