--- a/tests/test_fleet_sockets.py
+++ b/tests/test_fleet_sockets.py
@@ -63,9 +63,9 @@
         ("answers_late", READS, {"late"}),
         ("answers_twice", READS, {"answered_twice"}),
         ("makes_values", READS, {"foreign"}),
-        ("sends_after_end", READS, {"sent_after_end"}),
+        ("sends_after_end", READS, {"sent_after_end", "told_too_long"}),
         ("sends_twice", WRITES, {"repeated", "ran_twice"}),
-        ("sends_again_too_late", BOOKS, {"repeated", "ran_twice"}),
+        ("sends_again_too_late", BOOKS, {"repeated", "ran_twice", "told_too_long"}),
         ("refuses_what_ran", WRITES, {"refused_after_send"}),
     ],
 )
