--- a/deploy/build.py
+++ b/deploy/build.py
@@ -24,6 +24,7 @@
     "config.py",
     "beyond.py",
     "service.py",
+    "reload_signal.py",
     "wirehost.py",
     "net/http.py",
     "net/discovery.py",
--- a/myrtlecourse/fleet/routers.py
+++ b/myrtlecourse/fleet/routers.py
@@ -19,7 +19,8 @@
 from myrtlecourse.audit import observations as seen
 from myrtlecourse.fleet.faults import Step
 
-COMMAND = f"{shlex.quote(sys.executable)} -m myrtlecourse"
+# as `run` in the deploy file: a new configuration in the midst of a start ends no process
+COMMAND = shlex.join(["sh", "-c", f"trap '' HUP; exec {shlex.quote(sys.executable)} -m myrtlecourse"])
 START_TIME = 30.0  # seconds to listen
 LONGEST_DEADLINE = 3.0  # seconds, of those that count for a router's end (PROTOCOL)
 KILLED = 0.7  # seconds after SIGTERM and the longest deadline, at which SIGKILL comes at the earliest
--- a/myrtlecourse/service.py
+++ b/myrtlecourse/service.py
@@ -31,6 +31,7 @@
 from myrtlecourse.ops.server import OpsServer
 from myrtlecourse.ops.store import Store
 from myrtlecourse.overload.core import CoreControl
+from myrtlecourse.reload_signal import early
 
 KILLED = 0.7  # seconds after SIGTERM and the longest deadline, from which on SIGKILL may come
 LONGEST_END = 3.0  # seconds, of that deadline
@@ -103,6 +104,8 @@
         """Serve until SIGTERM, and then what was taken."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self.reload)
+        if early.pending:
+            self.reload()
         terminated = asyncio.Event()
         for each in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(each, terminated.set)
--- a/myrtlecourse/soak/system_faults.c
+++ b/myrtlecourse/soak/system_faults.c
@@ -8,6 +8,7 @@
 #include <dlfcn.h>
 #include <errno.h>
 #include <stdint.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
@@ -73,22 +74,30 @@
     return per_million && draw() % 1000000 < per_million && monotonic() - began >= after && is_socket(descriptor);
 }
 
-static int fail(const int *errors, size_t count) {
-    errno = errors[draw() % count];
+/* Fails a call, and tells so on standard error, where the router's log is. */
+static int fail(const char *call, int descriptor, const int *errors, size_t count) {
+    int error = errors[draw() % count];
+    dprintf(STDERR_FILENO, "system_faults: %.3f %s(%d) fails with %s\n", monotonic(), call, descriptor,
+            strerrorname_np(error));
+    errno = error;
     return -1;
 }
 
 int accept4(int descriptor, struct sockaddr *address, socklen_t *length, int flags) {
     static const int errors[] = {ECONNABORTED, EMFILE, ENFILE, ENOBUFS, ENOMEM, EPROTO, EINTR, EPERM};
     if (due(descriptor))
-        return fail(errors, COUNT(errors));
-    return NEXT(accept4)(descriptor, address, length, flags);
+        return fail("accept4", descriptor, errors, COUNT(errors));
+    int accepted = NEXT(accept4)(descriptor, address, length, flags);
+    /* an event loop may close by a system call of its own, which is not seen here */
+    if (accepted >= 0 && accepted < MOST_DESCRIPTORS)
+        opened[accepted] = 0;
+    return accepted;
 }
 
 int socket(int domain, int type, int protocol) {
     static const int errors[] = {EMFILE, ENFILE, ENOBUFS, ENOMEM};
     if (per_million && domain == AF_INET && draw() % 1000000 < per_million && monotonic() - began >= after)
-        return fail(errors, COUNT(errors));
+        return fail("socket", -1, errors, COUNT(errors));
     return NEXT(socket)(domain, type, protocol);
 }
 
@@ -97,7 +106,7 @@
     if (descriptor >= 0 && descriptor < MOST_DESCRIPTORS)
         opened[descriptor] = 1;
     if (due(descriptor))
-        return fail(errors, COUNT(errors));
+        return fail("connect", descriptor, errors, COUNT(errors));
     return NEXT(connect)(descriptor, address, length);
 }
 
@@ -114,9 +123,9 @@
     static const int passing[] = {EINTR, EAGAIN};
     if (size > 1 && due(descriptor)) {
         if (broken(descriptor))
-            return fail(errors, COUNT(errors));
+            return fail("read", descriptor, errors, COUNT(errors));
         if (draw() % 2)
-            return fail(passing, COUNT(passing));
+            return fail("read", descriptor, passing, COUNT(passing));
         size = 1 + draw() % (size < 64 ? size : 64);
     }
     return NEXT(read)(descriptor, data, size);
@@ -132,7 +141,7 @@
     static const int passing[] = {EINTR, EAGAIN};
     if (size > 1 && due(descriptor)) {
         if (draw() % 2)
-            return fail(passing, COUNT(passing));
+            return fail("write", descriptor, passing, COUNT(passing));
         size = 1 + draw() % (size - 1);
     }
     return NEXT(write)(descriptor, data, size);
--- /dev/null
+++ b/tests/test_reload_signal.py
@@ -0,0 +1,72 @@
+"""A new configuration is told in the midst of a router's start: it lives, and takes what stands there."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import shlex
+import signal
+import tomllib
+from contextlib import suppress
+from pathlib import Path
+
+import orjson
+import pytest
+
+from myrtlecourse.fleet.routers import COMMAND
+from myrtlecourse.reload_signal import ReloadSignal
+from tests.loopback import run
+from tests.test_main import GOOD
+from tests.test_wirehost import CONF
+
+ROOT = Path(__file__).parent.parent
+
+
+def test_the_deploy_file_has_the_signal_ignored_until_the_program_listens_for_it() -> None:
+    line = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+    assert line.startswith("trap '' HUP; exec ") and "trap '' HUP; exec " in shlex.split(COMMAND)[2]
+
+
+def test_an_early_signal_is_remembered() -> None:
+    before = signal.getsignal(signal.SIGHUP)
+    early = ReloadSignal()
+    try:
+        early.listen()
+        assert not early.pending
+        os.kill(os.getpid(), signal.SIGHUP)
+        assert early.pending
+    finally:
+        signal.signal(signal.SIGHUP, before)
+
+
+@pytest.mark.processes
+def test_a_router_that_is_told_all_through_its_start_lives_and_has_the_new_settings(tmp_path: Path) -> None:
+    """The signal's default action ended it without a word; seen on a soak, a restart among reloads."""
+
+    async def scenario() -> None:
+        path, log = tmp_path / "config.json", tmp_path / "router.log"
+        config = {**GOOD, "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9"}
+        path.write_bytes(orjson.dumps(config))
+        with log.open("wb") as out:
+            router = await asyncio.create_subprocess_exec(
+                *shlex.split(COMMAND), env={**os.environ, "RELAY_CONFIG": str(path)}, stdout=out, stderr=out
+            )
+        try:
+            await asyncio.sleep(0.01)  # the shell has set the signal aside
+            classes = [*CONF["classes"], {**CONF["classes"][0], "name": "new"}]
+            path.write_bytes(orjson.dumps({**config, "settings": {**CONF, "classes": classes}}))
+            while b"listening on" not in log.read_bytes():
+                assert router.returncode is None, log.read_text()
+                with suppress(ProcessLookupError):
+                    router.send_signal(signal.SIGHUP)
+                await asyncio.sleep(0.002)
+            await asyncio.sleep(0.2)
+            assert router.returncode is None
+            router.terminate()
+            assert await router.wait() == 0
+        finally:
+            if router.returncode is None:
+                router.kill()
+                await router.wait()
+
+    run(scenario, patience=30.0)
