Go on hearing reloads after one that was at fault

Need: reloads are taken by a task since they read their list in several turns; an unexpected error ended it, where a signal handler's error had cost one reload. A test has two in a row at fault.

--- a/myrtlecourse/service.py
+++ b/myrtlecourse/service.py
@@ -276,7 +276,11 @@
         while True:
             await self.reload_wanted.wait()
             self.reload_wanted.clear()
-            await self._reload()
+            try:
+                await self._reload()
+            except Exception:
+                # guards later reloads: a fault in this one must not leave the router deaf to them
+                logging.exception("reload")
 
     async def _reload(self) -> None:
         """Take a new configuration whole, or nothing of it: discovery's address and the settings."""
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -17,7 +17,9 @@
 import orjson
 import pytest
 
+from myrtlecourse.config import read_config
 from myrtlecourse.net.pool import address_of
+from myrtlecourse.service import Service
 from tests.loopback import HIT, PATIENCE, Link, Peer, command, http, read, run, spelled
 from tests.test_main import GOOD
 from tests.test_net_discovery import LINE
@@ -573,3 +575,22 @@
             os.kill(pid, signal.SIGKILL)
 
     run(scenario, patience=3 * PATIENCE)
+
+
+def test_a_reload_that_is_at_fault_leaves_the_router_open_to_the_next(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        service = Service(read_config(orjson.dumps(GOOD)), str(tmp_path / "config.json"), None, None)
+        tried = asyncio.Queue[int]()
+
+        async def reload() -> None:
+            tried.put_nowait(1)
+            raise RuntimeError("at fault")
+
+        service._reload = reload  # type: ignore[method-assign]
+        task = asyncio.create_task(service._reload_when_told())
+        for _ in range(2):
+            service.reload()
+            assert await tried.get() == 1
+        task.cancel()
+
+    run(scenario)
