--- a/tests/test_net_errors.py
+++ b/tests/test_net_errors.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import logging
 import os
 import socket
 from typing import Any
@@ -14,6 +15,7 @@
 from myrtlecourse.net import listener as listeners
 from myrtlecourse.net.listener import OF_ONE_CLIENT
 from myrtlecourse.net.pool import OWN_SHORTAGE
+from myrtlecourse.net.request_log import requests_log
 from tests.loopback import HIT, Router, command, read, run, spelled
 
 SHORTAGES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
@@ -136,13 +138,11 @@
     run(scenario)
 
 
-async def with_failed_dial(router: Router, code: int) -> tuple[str, api.Status]:
-    """A read whose first dial fails: the server that it was for, and what its attempt ended with."""
+async def with_failed_dial(router: Router, code: int) -> str:
+    """A read whose first dial fails: the server that it was for."""
     loop: Any = asyncio.get_running_loop()
     make = loop.create_connection
     failed: list[str] = []
-    ended: list[api.Status] = []
-    finish = router.host.finish
 
     async def dial(factory: Any, host: str, port: int, **more: Any) -> Any:
         if not failed:
@@ -150,13 +150,8 @@
             raise OSError(code, os.strerror(code))
         return await make(factory, host, port, **more)
 
-    def noted(taken: Any, attempt: Any, status: api.Status, value: bytes = b"") -> None:
-        ended.append(status)
-        finish(taken, attempt, status, value)
-
     client = await router.client()
     loop.create_connection = dial
-    router.host.finish = noted  # type: ignore[method-assign]
     try:
         client.write(read("r1"))
         cache = await router.cache()
@@ -165,16 +160,23 @@
         assert await client.resp() == b"value"
     finally:
         loop.create_connection = make
-    return next(n for n, p in router.caches.items() if p.address == failed[0]), ended[0]
+    return next(n for n, p in router.caches.items() if p.address == failed[0])
 
 
 @pytest.mark.parametrize("code", sorted({*OWN_SHORTAGE, *UNREACHED}), ids=lambda c: errno.errorcode[c])
-def test_a_dial_that_fails_is_made_elsewhere_and_own_shortages_count_against_no_server(code: int) -> None:
+def test_a_dial_that_fails_is_made_elsewhere_and_own_shortages_count_against_no_server(
+    code: int, caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    monkeypatch.setattr(requests_log, "on", True)
+    caplog.set_level(logging.INFO, "myrtlecourse.requests")
+    own = code in OWN_SHORTAGE
+
     async def scenario() -> None:
         async with Router() as router:
-            name, status = await with_failed_dial(router, code)
-            own = code in OWN_SHORTAGE
-            assert status is (api.Status.MOOT if own else api.Status.CONNECT_FAILED)
+            name = await with_failed_dial(router, code)
             assert router.host.router.servers[name].failures == (0 if own else 1)
 
     run(scenario)
+    status = api.Status.MOOT if own else api.Status.CONNECT_FAILED
+    ends = [r.getMessage() for r in caplog.records if "event=ended" in r.getMessage()]
+    assert f"no=0 status={status.value}" in ends[0]
