Invite candidates one turn at a time after a long holding or a standstill

What callers saw: a router that had voted and held a duty sent hundreds of datagrams in one turn of its event loop as it gave the duty up; after an hour with the default heartbeat 14,400 for each of the first candidates, in which no request is read and no deadline kept. Cause: turns of invitations were counted from the vacancy before the holding, which is not looked at while the process holds; all turns since then were made up for at once. The same after a stop of the process. Fix: winning ends a vacancy, and a turn that passed unseen is left out, so that one event gives one turn. Ruled out: retransmission by the sockets' layer, as each line is a message of its own decision.

--- a/myrtlecourse/election/core.py
+++ b/myrtlecourse/election/core.py
@@ -185,7 +185,7 @@
             return math.inf
         invites = math.inf
         if self.settings.preferred:
-            invites = self.invitations.next(self.settings)
+            invites = self.invitations.next_at
             if invites == math.inf:
                 invites = max(self.word_until, self.quiet_until)
         if not self.settings.stands:
@@ -360,6 +360,7 @@
 
     def _win(self) -> None:
         self.role = Role.HOLDER
+        self.invitations.end()
         self.renewed = dict.fromkeys(self.granted, self.asked_at)
         self.lease_until = -math.inf
         self.beats.clear()
--- a/myrtlecourse/election/invitations.py
+++ b/myrtlecourse/election/invitations.py
@@ -11,28 +11,32 @@
     """One voter's, since nobody holds."""
 
     def __init__(self) -> None:
-        self.vacant_at = math.inf  # when nobody held, as this voter knows
-        self.turns = 0  # that have been, since then
+        self.turns = 0  # that have been, in this vacancy
+        self.next_at = math.inf  # when the next turn is; never while somebody holds
 
     def due(self, now: float, vacant: bool, settings: Settings) -> list[str]:
-        """Whom to invite now; from the first again once all have had their turn."""
+        """Whom to invite now; from the first again once all have had their turn.
+
+        Turns that passed while this process stood still are not made up for: two for each heartbeat of an
+        hour would stop the event loop.
+        """
         if not vacant or not settings.preferred:
-            self.vacant_at = math.inf
+            self.end()
+            return []
+        if now < self.next_at < math.inf:
             return []
-        if self.vacant_at == math.inf:
-            self.vacant_at, self.turns = now, 0
-        names: list[str] = []
-        while now >= self.next(settings):
-            turn = self.turns % (settings.turns + 1)  # one more, for what the last one needs
-            self.turns += 1
-            # the first few again: what was said to them before may be lost
-            names += [
-                name
-                for place, name in enumerate(settings.candidates)
-                if name not in settings.voters and (turn_of(place) == turn or place < min(FEW, turn))
-            ]
-        return names
-
-    def next(self, settings: Settings) -> float:
-        """When the next turn is; never while somebody holds."""
-        return self.vacant_at + self.turns * settings.heartbeat / 2
+        turn = self.turns % (settings.turns + 1)  # one more, for what the last one needs
+        self.turns += 1
+        interval = settings.heartbeat / 2
+        in_step = self.next_at + interval
+        self.next_at = in_step if now < in_step < math.inf else now + interval
+        # the first few again: what was said to them before may be lost
+        return [
+            name
+            for place, name in enumerate(settings.candidates)
+            if name not in settings.voters and (turn_of(place) == turn or place < min(FEW, turn))
+        ]
+
+    def end(self) -> None:
+        """Somebody holds: the next vacancy begins with the most preferred."""
+        self.turns, self.next_at = 0, math.inf
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -433,3 +433,44 @@
     later = now + settings().lease + 0.1
     acts = voter.handle(later, said.Heard("a", said.Beat(6, 9)))
     assert said.Tell("a", said.Deny(7)) in acts
+
+
+def candidates_invited(acts: list[said.Action]) -> list[str]:
+    return [a.to for a in acts if isinstance(a, said.Tell) and isinstance(a.message, said.Invite)]
+
+
+def holding_voter(hours: float) -> tuple[Election, float]:
+    """A voter that has met a vacancy, was elected, and has held the duty for so long."""
+    told = settings(preferred=("x", "y", "a"), settle=0.0)
+    voter = Election(told, said.Saved(1, ""), 0.0, 1)
+    voter.handle(0.0, said.Able(True))
+    now = told.lease
+    voter.handle(now, said.Woke())
+    now = voter.stand_at
+    voter.handle(now, said.Woke())
+    for trial in (True, False):
+        voter.handle(now, said.Heard("b", said.Grant(voter.term + trial, voter.number, trial)))
+    for _ in range(int(3600 * hours / told.heartbeat)):
+        now += told.heartbeat
+        voter.handle(now, said.Woke())
+        voter.handle(now, said.Heard("b", said.Renew(voter.term, voter.number)))
+    assert voter.holds(now)
+    return voter, now
+
+
+def test_a_voter_that_has_held_for_long_invites_a_few_once_it_has_given_up() -> None:
+    """It made up for a turn of each half heartbeat that it had held: 14,400 datagrams an hour at once."""
+    voter, now = holding_voter(hours=1.0)
+    voter.handle(now, said.Resign("", 1.0))
+    acts = voter.handle(now, said.Withdrawn())
+    assert candidates_invited(acts) == ["x"]  # the most preferred first
+    acts = voter.handle(now + voter.settings.heartbeat / 2, said.Woke())
+    assert candidates_invited(acts) == ["x", "y"]
+
+
+def test_a_voter_that_stood_still_in_a_vacancy_does_not_make_up_for_its_turns() -> None:
+    told = settings(preferred=("x", "y"), settle=0.0)
+    voter = Election(told, said.Saved(1, ""), 0.0, 1)
+    assert candidates_invited(voter.handle(told.lease, said.Woke())) == ["x"]
+    for now in (told.lease + 3600.0, told.lease + 3600.0 + told.heartbeat / 2):
+        assert len(candidates_invited(voter.handle(now, said.Woke()))) <= 2
