Let a candidate go on beside a single denial, and ask once more where its term was too low

What callers saw: staff moved a duty to a router, the command said yes, and the duty went to another router, or to nobody for a lease. Cause: a candidate fell back at the first denial in a higher term. A voter that started later begins in a higher term, and may answer first; a majority that grants was not waited for, though its words were given. Evidence: by the code, and two of the new tests, which failed before: one denial in term 50 and one of two grants, and a majority that denies for the term alone. Fix: denials end a candidacy where no majority is left; where the term asked for was too low it is asked for again, once, in a higher one. A majority that grants shares a voter with any majority of a higher term that elected a holder, so that no token goes backwards.

--- a/myrtlecourse/election/core.py
+++ b/myrtlecourse/election/core.py
@@ -85,6 +85,9 @@
         self.asked_at = 0.0
         self.granted: set[str] = set()
         self.denied: set[str] = set()
+        self.denied_in = -1  # the highest term of those
+        self.asked_term = -1
+        self.asked_again = False  # in a higher term, as the one before was too low for a majority
         self.beats: dict[int, float] = {}  # when each question of this term was asked
         self.renewed: dict[str, float] = {}  # when the last question was asked that each voter has answered
         self.lease_until = -math.inf
@@ -301,13 +304,32 @@
             self._win()
 
     def _on_deny(self, sender: str, term: int) -> None:
-        # a holder goes on until its lease is over: it may be that none is in the higher term
-        if self.role is not Role.HOLDER:
+        if self.role in (Role.BACKUP, Role.LEAVING):
             self._learn(term)
-        if self.role in (Role.TRYING, Role.STANDING):
-            self.denied.add(sender)
-            if len(self.denied) > len(self.settings.voters) - self.settings.majority:
-                self._fall_back()
+        # a holder goes on until its lease is over: it may be that none is in the higher term
+        if self.role not in (Role.TRYING, Role.STANDING) or sender not in self.settings.voters:
+            return
+        self.denied.add(sender)
+        self.denied_in = max(term, self.denied_in)
+        # one voter ahead of a majority says nothing: whoever held in its term had the word of one of them
+        if len(self.denied) > len(self.settings.voters) - self.settings.majority:
+            self._on_denied_by_majority()
+
+    def _on_denied_by_majority(self) -> None:
+        """Fall back, or ask once more where the term asked for may be all that was wrong with it.
+
+        Guards a move: whoever was named for it is asked to stand just once.
+        """
+        role, asked = self.role, self.asked_term
+        self._fall_back()
+        self._learn(self.denied_in)
+        if self.denied_in < asked or self.asked_again:
+            return
+        if role is Role.TRYING:
+            self._try()
+        else:
+            self._stand()
+        self.asked_again = True
 
     def _on_beat(self, sender: str, beat: Beat) -> None:
         if not self.settings.votes:
@@ -354,6 +376,7 @@
         self.number = self.count.at(self.now)
         self.asked_at = self.now
         self.granted, self.denied = {self.settings.name} if self.settings.votes else set(), set()
+        self.denied_in, self.asked_term, self.asked_again = -1, term, False
         self._tell_all(Ask(term, self.number, trial))
         if self.settings.majority == 1 and self.settings.votes:
             self._on_grant(self.settings.name, Grant(term, self.number, trial))
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -474,3 +474,51 @@
     assert candidates_invited(voter.handle(told.lease, said.Woke())) == ["x"]
     for now in (told.lease + 3600.0, told.lease + 3600.0 + told.heartbeat / 2):
         assert len(candidates_invited(voter.handle(now, said.Woke()))) <= 2
+
+
+def asked(acts: list[said.Action]) -> list[said.Ask]:
+    """The questions to one of the voters."""
+    return [a.message for a in acts if isinstance(a, said.Tell) and isinstance(a.message, said.Ask)][::2]
+
+
+def successor(term: int = 4) -> tuple[Election, list[said.Action], float]:
+    """A candidate that was just offered what a holder in this term has given up for it, and what it says."""
+    told = settings("a", settle=0.2)
+    candidate = Election(told, said.Saved(term, ""), 0.0, 1)
+    candidate.handle(0.0, said.Able(True))
+    now = told.lease + told.settle
+    return candidate, candidate.handle(now, said.Heard("b", said.Take(term))), now
+
+
+def test_a_single_denial_in_a_higher_term_does_not_end_a_candidacy() -> None:
+    """A move to a router was lost when a voter that had started later was the first to answer it."""
+    candidate, acts, now = successor()
+    (ask,) = asked(acts)
+    candidate.handle(now, said.Heard("c", said.Deny(50)))
+    acts = candidate.handle(now, said.Heard("b", said.Grant(ask.term, ask.number, ask.trial)))
+    assert said.Announce(ask.term) in acts
+
+
+def test_a_candidate_that_a_majority_denies_for_its_term_asks_once_in_a_higher_one() -> None:
+    candidate, _, now = successor()
+    candidate.handle(now, said.Heard("c", said.Deny(50)))
+    acts = candidate.handle(now, said.Heard("b", said.Deny(4)))
+    (ask,) = asked(acts)
+    assert ask.term == 51 and not ask.trial
+    acts = candidate.handle(now, said.Heard("c", said.Grant(ask.term, ask.number, ask.trial)))
+    assert said.Announce(51) in acts
+
+
+def test_a_candidate_is_not_led_on_from_term_to_term() -> None:
+    candidate, _, now = successor()
+    for term in (50, 60):
+        for sender in ("b", "c"):
+            acts = candidate.handle(now, said.Heard(sender, said.Deny(term)))
+    assert candidate.role is Role.BACKUP and not asked(acts)
+
+
+def test_denials_for_a_word_that_holds_end_a_candidacy() -> None:
+    candidate, _, now = successor()
+    for sender in ("b", "c"):
+        acts = candidate.handle(now, said.Heard(sender, said.Deny(4)))
+    assert candidate.role is Role.BACKUP and not asked(acts)
