--- a/tests/test_duty_faults.py
+++ b/tests/test_duty_faults.py
@@ -31,7 +31,8 @@
 NETWORK = {"copies": 0.2, "spread": 0.02}  # one in five twice, and out of order
 LOSSY = NETWORK | {"loss": 0.3}
 # `purge` is held by one without a vote, `tidy` by a voter
-EACH = [{"name": "purge", "preferred": [3, 4, 0]}, {"name": "tidy", "preferred": [0, 1, 5]}]
+PREFERRED = [3, 4, 0]
+EACH = [{"name": "purge", "preferred": PREFERRED}, {"name": "tidy", "preferred": [0, 1, 5]}]
 # reckoned from the settings: the lease, ten heartbeats, an order's time; and a machine that is busy
 GAP = 0.5 + 1.2 + 0.6 + 2.5
 HOUSE = Path(__file__).parent.parent
@@ -241,12 +242,11 @@
                 await asyncio.sleep(0.1)
             return told
 
-        preferred = EACH[0]["preferred"]
-        looks = itertools.cycle(preferred)
+        looks = itertools.cycle(PREFERRED)
         # the third may hold it, ready long before the others: nobody takes it from one that works
         while not (await holder(first := next(looks)))["acts"] and time.monotonic() < until:
             pass
-        other = next(n for n in preferred if n != first)
+        other = next(n for n in PREFERRED if n != first)
         # it may obey another still, which held it before one that is preferred had come up
         assert await shows(6, lambda duty: duty["holder"] == f"router-{first}")
         assert (await ask("move", "purge", "router-6", at=first))[0] == 1  # it may not hold it
