Log the messages of elections on request, so that a lost move can be traced

Need: a test that failed beside other work could not be explained from the logs of its routers, which tell who holds a duty and not who granted or denied. MYRTLECOURSE_LOG=elections writes a line for each message. Off, a message costs a look at a flag.

--- a/myrtlecourse/duties/keeper.py
+++ b/myrtlecourse/duties/keeper.py
@@ -14,6 +14,7 @@
 from myrtlecourse.duties.codec import DutyCodec, split
 from myrtlecourse.duties.core import Duties
 from myrtlecourse.duties.memory import write_memories
+from myrtlecourse.duties.message_log import MessageLog
 from myrtlecourse.election import messages as election
 from myrtlecourse.net.logs import BoundedLog
 from myrtlecourse.peers.end import End, Endpoint
@@ -80,6 +81,7 @@
         self.moves: list[str] = []  # the last few, for staff
         self.followed: dict[str, str] = {}  # by duty: whose order was obeyed last, and under which token
         self.closing = False
+        self.message_log = MessageLog()
 
     async def start(self, bind: Endpoint, shared: bool) -> None:
         """Listen, and begin; where another process of this router may still listen (`shared`, at an upgrade)
@@ -122,6 +124,7 @@
         return self.duties.may(time.monotonic(), duty)
 
     def heard(self, sender: str, message: tuple[said.Item, ...]) -> None:
+        self.message_log.received(sender, message)
         self.post(said.Heard(sender, message))
 
     def post(self, event: said.Event) -> None:
@@ -136,6 +139,7 @@
                 if self.writing is None:
                     self.writing = asyncio.create_task(self._write(self.memory))
             case said.Say(to, items):
+                self.message_log.sent(to, items)
                 self._say(to, tuple(i for i in items if not isinstance(i[1], PROMISES)))
                 if promises := tuple(i for i in items if isinstance(i[1], PROMISES)):
                     self._once_written(said.Say(to, promises))
--- /dev/null
+++ b/myrtlecourse/duties/message_log.py
@@ -0,0 +1,38 @@
+"""The log of the messages by which duties are given and held; off unless operators turn it on.
+
+`MYRTLECOURSE_LOG=elections` in the environment turns it on. Each line tells one message of an election that
+this process sent or received, so that the lines of all routers together show who granted and who denied what.
+"""
+
+from __future__ import annotations
+
+import logging
+import os
+import time
+
+from myrtlecourse.duties.messages import Item
+from myrtlecourse.net.request_log import VARIABLE
+
+ELECTIONS = "elections"
+log = logging.getLogger("myrtlecourse.elections")
+
+
+class MessageLog:
+    """Writes one line a message, with the duty's number and this machine's monotonic time in seconds."""
+
+    def __init__(self) -> None:
+        self.on = os.environ.get(VARIABLE, "") == ELECTIONS
+
+    def sent(self, receiver: str, items: tuple[Item, ...]) -> None:
+        """Messages leave this process, unless they still wait for the disk."""
+        self._write("to", receiver, items)
+
+    def received(self, sender: str, items: tuple[Item, ...]) -> None:
+        """Messages have arrived, and are handled next."""
+        self._write("from", sender, items)
+
+    def _write(self, direction: str, peer: str, items: tuple[Item, ...]) -> None:
+        if not self.on:
+            return
+        for duty, message in items:
+            log.info("at=%.4f duty=%d %s=%s %s", time.monotonic(), duty, direction, peer, message)
