Ask for the move of a duty in the test again where the lease was lost since the look

Seen with four copies side by side beside six busy loops: 2 of 4 failed, at the assertion that the holder accepts the move. The routers' logs tell that router-3 had lost its lease a second before the command came, and router-4 had taken it: 28 routers, four relays and six loops share six cores. A refusal by one that holds no lease is right. The move is asked for again then; that it is accepted, and that the next to take the duty after it is the router named, which was not checked before, is asserted.

--- a/tests/test_duty_faults.py
+++ b/tests/test_duty_faults.py
@@ -5,6 +5,7 @@
 import asyncio
 import itertools
 import json
+import re
 import shlex
 import signal
 import sys
@@ -210,6 +211,18 @@
             await asyncio.sleep(0.05)
 
 
+TAKEN = re.compile(r"duty purge: held here under token .* at ([0-9.]+)$", re.MULTILINE)
+HANDED_OVER = re.compile(r"duty purge: held here no more: handed over at ([0-9.]+)$", re.MULTILINE)
+
+
+def next_holder(each: list[Router]) -> str:
+    """Who was the first to take a duty after it had been handed over, by the routers' logs."""
+    logs = {router.name: router.log.read_text() for router in each}
+    (handed_over,) = [float(at) for log in logs.values() for at in HANDED_OVER.findall(log)]
+    taken = sorted((float(at), name) for name, log in logs.items() for at in TAKEN.findall(log))
+    return next(name for at, name in taken if at > handed_over)
+
+
 def test_staff_see_the_duties_and_move_one(tmp_path: Path) -> None:
     upgrade = [{"what": "upgrade", "at": 80_000.0, "router": 0}]  # so that routers have an operators' address
 
@@ -242,19 +255,28 @@
                 await asyncio.sleep(0.1)
             return told
 
-        looks = itertools.cycle(PREFERRED)
-        # the third may hold it, ready long before the others: nobody takes it from one that works
-        while not (await holder(first := next(looks)))["acts"] and time.monotonic() < until:
-            pass
-        other = next(n for n in PREFERRED if n != first)
-        # it may obey another still, which held it before one that is preferred had come up
-        assert await shows(6, lambda duty: duty["holder"] == f"router-{first}")
-        assert (await ask("move", "purge", "router-6", at=first))[0] == 1  # it may not hold it
-        assert (await ask("move", "purge", f"router-{other}", at=5))[0] == 1  # that router does not hold it
-        assert (await ask("move", "purge", f"router-{other}", at=first))[0] == 0
+        async def acting() -> int:
+            """Who holds it, as router 6 knows too; the third may, where it was ready before the others."""
+            for number in itertools.cycle(PREFERRED):
+                acts = (await holder(number))["acts"]
+                if acts and (await holder(6))["holder"] == f"router-{number}" or time.monotonic() > until:
+                    return number
+            raise AssertionError
+
+        accepted = False
+        while not accepted and time.monotonic() < until:
+            first = await acting()
+            other = next(n for n in PREFERRED if n != first)
+            assert (await ask("move", "purge", "router-6", at=first))[0] == 1  # it may not hold it
+            assert (await ask("move", "purge", f"router-{other}", at=5))[
+                0
+            ] == 1  # that router does not hold it
+            # refused where a crowded machine has cost it the lease since it was looked at
+            accepted = (await ask("move", "purge", f"router-{other}", at=first))[0] == 0
+        assert accepted
         assert await shows(6, lambda duty: duty["holder"] == f"router-{other}")
-        # a crowded machine may let it lose its lease in between
         assert await shows(other, lambda duty: duty["acts"])
+        assert next_holder(each) == f"router-{other}"
         code, table = await ask("status", at=4)
         assert code == 0 and "purge" in table
         await reloaded(each)
