Observe a router's start as its process is made, not up to 20 ms after it listens

Cause: the stand-in fleet noted the start when it next looked at the log for the line that it listens. Fix: the observation is made before the event loop turns again after the process is made. A new process is held to its own calls from then on, which is earlier than before by its start, so that nothing is judged less strictly.

--- a/myrtlecourse/fleet/routers.py
+++ b/myrtlecourse/fleet/routers.py
@@ -96,6 +96,9 @@
                 stdout=log,
                 stderr=log,
             )
+        if beside is None:
+            # before it can send anything: what is known of the process before holds not for this one
+            self.observe(seen.RouterUp(time.monotonic(), self.name))
         self.wanted = True
         until = time.monotonic() + START_TIME
         wanted = LISTENING if self.listening is None else CALLED
@@ -108,8 +111,6 @@
         if CALLED in text:
             host, _, port = text.split(CALLED)[1].split()[0].decode().rpartition(":")
             self.ops = host, int(port)
-        if beside is None:
-            self.observe(seen.RouterUp(time.monotonic(), self.name))
         self.watch = asyncio.create_task(self._watch(self.process))
 
     def pids(self) -> list[int]:
