Keep a handed over duty for the router that was named, whose question may overtake the release

Cause: the release to the voters and the offer to the successor leave at one moment. The successor asks as it hears the offer; a voter that has not heard the release denies, and at a majority the offer was spent. Voters then invite the most preferred, who has just left. Also an offer met while the successor was not well was dropped. Ruled out: a lost datagram (all offers arrived), the disk (in memory). Fix: an offer is good for as long as the former holder now rests, a heartbeat for each voter and one more; a denial or a wait ends one question and not the offer. A word that holds for another still keeps it back.

--- a/myrtlecourse/election/core.py
+++ b/myrtlecourse/election/core.py
@@ -95,6 +95,8 @@
         self.well_since = math.inf
         self.unwell_since = now
         self.successor = ""
+        self.offered_until = -math.inf  # a holder has given up for this one, which is to stand until then
+        self.offer_at = -math.inf  # when it may stand for that again
         self.rests_until = -math.inf
         self.invitations = Invitations()
 
@@ -154,7 +156,9 @@
                 self._beat()
         elif self.role in (Role.TRYING, Role.STANDING) and self.now >= self.asked_at + settings.heartbeat:
             self._fall_back()  # no majority answered in time: a later answer is of another question
-        if self.role is Role.BACKUP and settings.votes:
+        if self.role is Role.BACKUP and self.now < self.offered_until:
+            self._stand_as_offered()
+        elif self.role is Role.BACKUP and settings.votes:
             self._invite()
             if self._bound_to("") or not self._may_stand():
                 self.stand_at = math.inf
@@ -166,8 +170,11 @@
                 self._try()
 
     def _may_stand(self) -> bool:
-        ready = max(self.quiet_until, self.well_since + self.settings.settle, self.rests_until)
-        return self.settings.stands and self.now >= ready
+        return self.settings.stands and self.now >= self._ready_at()
+
+    def _ready_at(self) -> float:
+        """From when on this one may stand, if nobody holds."""
+        return max(self.quiet_until, self.well_since + self.settings.settle, self.rests_until)
 
     def _invite(self) -> None:
         """Ask candidates without a vote to stand, where nobody holds."""
@@ -184,6 +191,10 @@
             return self.asked_at + self.settings.heartbeat
         if self.role is Role.LEAVING:
             return math.inf
+        if self.now < self.offered_until:
+            return max(
+                self.now, min(self.offered_until, max(self.offer_at, self.word_until, self._ready_at()))
+            )
         if not self.settings.votes:
             return math.inf
         invites = math.inf
@@ -195,8 +206,7 @@
             return invites
         if self.stand_at < math.inf:
             return min(invites, self.stand_at)
-        own = max(self.word_until, self.quiet_until, self.well_since + self.settings.settle, self.rests_until)
-        return min(invites, own)
+        return min(invites, max(self.word_until, self._ready_at()))
 
     # Words
 
@@ -258,23 +268,36 @@
                 if self.word == (sender, term):
                     self.word_until = -math.inf
                     self.stand_at = math.inf
-            case Take() | Invite():
-                self._on_offer(sender, message)
-
-    def _on_offer(self, sender: str, offer: Take | Invite) -> None:
-        """It is this one's to take, or to try for."""
-        if self.role is not Role.BACKUP or not self._may_stand():
-            return
-        if isinstance(offer, Invite):
-            self._learn(offer.term)
+            case Take():
+                self._on_take(sender, message)
+            case Invite():
+                self._on_invite(message)
+
+    def _on_invite(self, invite: Invite) -> None:
+        """It is this one's turn to try for it."""
+        if self.role is Role.BACKUP and self._may_stand():
+            self._learn(invite.term)
             if not self.settings.votes:
                 self._try()
-        elif offer.term >= self.term or self._only_began():
-            if self.word == (sender, offer.term):
-                self.word_until = -math.inf
-            if not self._bound_to(""):
-                self._learn(offer.term)
-                self._stand()
+
+    def _on_take(self, sender: str, take: Take) -> None:
+        """It is this one's to take: stand, now and again until it is held or others may have it."""
+        if not self.settings.stands or self.role in (Role.HOLDER, Role.LEAVING):
+            return
+        if take.term < self.term and not self._only_began():
+            return
+        if self.word == (sender, take.term):
+            self.word_until = -math.inf
+        self._learn(take.term)
+        self.offered_until, self.offer_at = self.now + self.settings.handover, self.now
+        if self.role is Role.TRYING:
+            self._fall_back()
+
+    def _stand_as_offered(self) -> None:
+        """Guards a move whose messages cross: a voter that is asked before it hears the release denies."""
+        if self.now >= self.offer_at and self._may_stand() and not self._bound_to(""):
+            self.offer_at = self.now + self.settings.heartbeat / 2
+            self._stand()
 
     def _on_ask(self, sender: str, ask: Ask) -> None:
         if not self._grants(sender, ask):
@@ -342,6 +365,7 @@
             # a word given before the start may hold for another: not even the holder gets one yet
             return
         self._learn(beat.term)
+        self.offered_until = -math.inf  # somebody holds
         if self.role is not Role.BACKUP:
             self._fall_back()
         self._give_word(sender, beat.term)
@@ -383,6 +407,7 @@
 
     def _win(self) -> None:
         self.role = Role.HOLDER
+        self.offered_until = -math.inf
         self.invitations.end()
         self.renewed = dict.fromkeys(self.granted, self.asked_at)
         self.lease_until = -math.inf
@@ -441,8 +466,10 @@
         if self.successor:
             self.out.append(Tell(self.successor, Take(self.term, clear)))
             self.successor = ""
+            # guards the move: who has just left may be the first that is invited
+            self.rests_until = max(self.rests_until, self.now + self.settings.handover)
         # who has just left lets others go first
-        self.stand_at = self.now + (len(self.settings.voters) + 1) * self.settings.heartbeat
+        self.stand_at = self.now + self.settings.handover
 
     def _on_move(self, to: str) -> None:
         if self.role is Role.HOLDER and to != self.settings.name and to in ("", *self.settings.candidates):
--- a/myrtlecourse/election/messages.py
+++ b/myrtlecourse/election/messages.py
@@ -98,6 +98,11 @@
         """After so many everybody has had one."""
         return turn_of(len(self.candidates) - 1) + 1
 
+    @property
+    def handover(self) -> float:
+        """Seconds for which whoever has handed over leaves the duty to the one named, and that one tries."""
+        return (len(self.voters) + 1) * self.heartbeat
+
     @property
     def longest_vacancy(self) -> float:
         """Seconds from a holder's death until another holds, if a majority talks and nothing is lost.
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -522,3 +522,47 @@
     for sender in ("b", "c"):
         acts = candidate.handle(now, said.Heard(sender, said.Deny(4)))
     assert candidate.role is Role.BACKUP and not asked(acts)
+
+
+def test_a_successor_that_is_denied_before_the_release_is_heard_asks_again() -> None:
+    """Its question overtook the release at a majority, and the duty went back to whoever had given it up."""
+    candidate, acts, now = successor()
+    for sender in ("b", "c"):
+        candidate.handle(now, said.Heard(sender, said.Deny(4)))
+    (again,) = [a.at for a in candidate.handle(now, said.Woke()) if isinstance(a, said.Wake)]
+    assert now < again <= now + candidate.settings.heartbeat
+    (ask,) = asked(candidate.handle(again, said.Woke()))
+    acts = candidate.handle(again, said.Heard("b", said.Grant(ask.term, ask.number, ask.trial)))
+    assert said.Announce(ask.term) in acts
+
+
+def test_a_successor_that_is_not_well_yet_stands_once_it_is() -> None:
+    told = settings("x", preferred=("x", "y"), settle=0.2)
+    candidate = Election(told, said.Saved(4, ""), 0.0, 1)
+    now = told.lease
+    candidate.handle(now, said.Able(True))
+    acts = candidate.handle(now + 0.1, said.Heard("b", said.Take(4)))
+    assert not asked(acts)
+    (at,) = [a.at for a in acts if isinstance(a, said.Wake)]
+    assert at == pytest.approx(now + told.settle)
+    assert len([a for a in candidate.handle(at, said.Woke()) if isinstance(a, said.Tell)]) == len(THREE)
+
+
+def test_whoever_has_handed_over_is_not_the_first_to_take_it_back() -> None:
+    """Voters invited it at once, as the most preferred, while the one named still asked."""
+    told = settings("x", preferred=("x", "y"), settle=0.0)
+    holder = Election(told, said.Saved(4, ""), 0.0, 1)
+    holder.handle(0.0, said.Able(True))
+    now = told.lease
+    for trial, event in ((True, said.Invite(4)), (False, None)):
+        if event is not None:
+            holder.handle(now, said.Heard("a", event))
+        for voter in ("a", "b"):
+            grant = said.Grant(holder.term + trial, holder.number, trial)
+            holder.handle(now, said.Heard(voter, grant))
+    assert holder.holds(now)
+    holder.handle(now, said.Move("y"))
+    acts = holder.handle(now, said.Withdrawn())
+    assert said.Tell("y", said.Take(holder.term, True)) in acts
+    assert not asked(holder.handle(now + 0.01, said.Heard("a", said.Invite(5))))
+    assert asked(holder.handle(now + told.handover + 0.01, said.Heard("a", said.Invite(5))))
