Keep a cold server's share until no window of its warm-up is open

What callers saw, in virtual time with three routers, settings by which a server bears 1.2 times what it can do, and 1.5 times the load that the fleet bears warm: a window of 1.21 times what the rule of slow start allows. Cause: the share of points that such settings leave a cold server rose to the whole in the instant in which its warm-up ends. A window that begins before and ends after that instant counts all of it. Fix: the share stays what the settings leave until one window later.

--- a/myrtlecourse/policy/walk.py
+++ b/myrtlecourse/policy/walk.py
@@ -123,12 +123,13 @@
     def _warm_share(self, server: Server) -> float:
         """Share of its points that count: the stated warm-up, cut by our own share of good answers."""
         age = self.now - server.started
-        if server.started <= 0 or age >= self.settings.ramp:
+        # guards the window in which the warm-up ends: what comes in its first part is counted with the rest
+        if server.started <= 0 or age >= self.settings.ramp + self.settings.fall_window:
             return server.share
         # guards against client retries, which multiply what is sent just when servers bear the least; and
         # against an overload, where settings let a cold server bear little more than it can do
         room = self.good * min(1.0, self.settings.fall_multiple / tuning.FALL_ROOM)
-        warm = room * (1 - (1 - self.settings.cold_share) * (1 - age / self.settings.ramp))
+        warm = room * (1 - (1 - self.settings.cold_share) * max(0.0, 1 - age / self.settings.ramp))
         return min(server.share, warm)
 
     def _permits(self, held: Held, server: Server | None) -> bool:
