Exit with 0 whatever signals come while the process ends

What callers saw: a router that was told to end and told of new configurations at the same time, or told to end twice, ended by the signal in its last milliseconds (-1, -15 or -2 in place of 0), which counts as a crash. Cause: the event loop, as it closes, gives signals back their default actions, and the interpreter goes on for some milliseconds after that. Fix: once all is served, the handlers are taken off and the signals ignored, blocked in between.

--- a/myrtlecourse/service.py
+++ b/myrtlecourse/service.py
@@ -41,9 +41,23 @@
 FORMER = 2.0  # seconds for which a dropped class is still taken: commands under way when it was dropped
 LOOK = 0.1  # seconds between looks for what another process of an upgrade was told
 FIRST_LIST = 1.0  # seconds to wait for a fresh list at an upgrade, before the one held has to do
+END_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 bounded = BoundedLog(logging.getLogger(__name__))
 
 
+def ignore_signals(loop: asyncio.AbstractEventLoop) -> None:
+    """Ignore further signals while the process exits.
+
+    Guards the exit code: an event loop that closes restores the default actions, which end the process.
+    """
+    handled = (signal.SIGHUP, *END_SIGNALS)
+    before = signal.pthread_sigmask(signal.SIG_BLOCK, handled)
+    for each in handled:
+        loop.remove_signal_handler(each)
+        signal.signal(each, signal.SIG_IGN)
+    signal.pthread_sigmask(signal.SIG_SETMASK, before)
+
+
 class Service:
     """One router."""
 
@@ -107,7 +121,7 @@
         if early.pending:
             self.reload()
         terminated = asyncio.Event()
-        for each in (signal.SIGTERM, signal.SIGINT):
+        for each in END_SIGNALS:
             loop.add_signal_handler(each, terminated.set)
         self.store.refresh()
         self._obey()
@@ -148,6 +162,7 @@
             except OSError as e:
                 logging.error("its claim on descriptors was not taken back: %s", e)
         logging.info("ended; the longest turn of the event loop took %.1f ms", 1000 * self.host.turns.longest)
+        ignore_signals(loop)
 
     async def _end(self) -> None:
         """End what was taken, and give up what is held for the fleet, both by when SIGKILL may come."""
--- a/tests/test_reload_signal.py
+++ b/tests/test_reload_signal.py
@@ -6,6 +6,8 @@
 import os
 import shlex
 import signal
+import subprocess
+import time
 import tomllib
 from contextlib import suppress
 from pathlib import Path
@@ -70,3 +72,29 @@
                 await router.wait()
 
     run(scenario, patience=30.0)
+
+
+@pytest.mark.processes
+@pytest.mark.parametrize("further", [signal.SIGHUP, signal.SIGTERM, signal.SIGINT])
+def test_signals_all_through_a_routers_end_change_nothing_of_it(
+    further: signal.Signals, tmp_path: Path
+) -> None:
+    """Once the event loop had closed their default actions ended the process, which counts as a crash."""
+    path, log = tmp_path / "config.json", tmp_path / "router.log"
+    path.write_bytes(orjson.dumps({**GOOD, "listen": "127.0.0.1:0", "discovery": "127.0.0.1:9"}))
+    with log.open("wb") as out:
+        router = subprocess.Popen(
+            shlex.split(COMMAND), env={**os.environ, "RELAY_CONFIG": str(path)}, stdout=out, stderr=out
+        )
+    try:
+        while b"listening on" not in log.read_bytes():
+            assert router.poll() is None, log.read_text()
+            time.sleep(0.01)
+        router.terminate()
+        while router.poll() is None:
+            router.send_signal(further)
+            time.sleep(0.001)
+        assert router.returncode == 0, log.read_text()
+    finally:
+        router.kill()
+        router.wait()
