Play signals in series beside a router's end in soaks, and hold routers to their exit code

Need: configurations in quick succession and restarts meet in production; a stand-in router that was ending got no further signal, and the code that it ended with was not looked at. A restart may have up to 1,000 further signals, SIGHUP and SIGTERM by turns from before the first SIGTERM on; soaks draw 0, 4 or 100 of them. A router that is told to end and ends with another code than 0, though not killed, counts as crashed, which is stricter than before.

--- a/myrtlecourse/fleet/faults.py
+++ b/myrtlecourse/fleet/faults.py
@@ -17,8 +17,8 @@
     """What happens to one part of the fleet: `do` to `target` at so many seconds after the start.
 
     `target` is a box, `origin`, `discovery`, `router-N` or `holder-DUTY-N` (who holds a duty when the fault
-    with that number begins); `value` is the factor of a pace or the share of
-    spoilt answers; `lasts` tells how long it will be so, where a later step ends it.
+    with that number begins); `value` is the factor of a pace, the share of spoilt answers, or how many further
+    signals come at a restart; `lasts` tells how long it will be so, where a later step ends it.
     """
 
     at: float
@@ -105,7 +105,7 @@
         case told.Upgrade():
             return [Step(fault.at, "upgrade", target)]
         case told.Restart():
-            return [Step(fault.at, "kill" if fault.kill else "restart", target)]
+            return [Step(fault.at, "kill" if fault.kill else "restart", target, float(fault.signals))]
 
 
 def _from_outside(fault: told.Reload | told.Crowd) -> list[Step]:
--- a/myrtlecourse/fleet/routers.py
+++ b/myrtlecourse/fleet/routers.py
@@ -12,6 +12,7 @@
 import sys
 import time
 from collections.abc import Callable, Coroutine
+from contextlib import suppress
 from datetime import datetime
 from pathlib import Path
 from typing import Any
@@ -28,6 +29,7 @@
 LISTENING = b"listening on "
 CALLED = b"operators call "
 CALL_TIME = 1.0  # seconds in which a call is owed its answer
+SIGNAL_PAUSE = 0.02  # seconds between two of a series
 YES_TIME = 6.0  # seconds in which a router that is started beside itself has to be ready
 
 
@@ -164,8 +166,24 @@
 
     def reload(self) -> None:
         """Tell its process to read its configuration anew."""
-        if self.process is not None and self.process.returncode is None:
-            self.process.send_signal(signal.SIGHUP)
+        if self.process is not None:
+            self._signal(self.process, signal.SIGHUP)
+
+    @staticmethod
+    def _signal(process: asyncio.subprocess.Process, which: signal.Signals) -> None:
+        """Send a signal to a process that runs.
+
+        Not by the process object, which looks whether it has ended and so takes its exit code from the loop.
+        """
+        if process.returncode is None:
+            with suppress(ProcessLookupError):
+                os.kill(process.pid, which)
+
+    async def _signal_series(self, process: asyncio.subprocess.Process, count: int) -> None:
+        """SIGHUP and SIGTERM by turns, in quick succession, beside its end."""
+        for number in range(count):
+            self._signal(process, signal.SIGTERM if number % 2 else signal.SIGHUP)
+            await asyncio.sleep(SIGNAL_PAUSE)
 
     async def crowd(self, clients: int, begun: bool, seconds: float) -> None:
         """Clients that come all at once, say nothing or half a command, and stay for so long."""
@@ -183,21 +201,23 @@
             finally:
                 writer.close()
 
-    async def end(self, kill: bool) -> None:
-        """Kill it, or ask it to end; SIGKILL comes once its time is over."""
+    async def end(self, kill: bool, signals: int = 0) -> None:
+        """Kill it, or ask it to end, with further signals beside; SIGKILL comes once its time is over."""
         if self.process is None or self.process.returncode is not None:
             return
         self.wanted = False
+        series = asyncio.create_task(self._signal_series(self.process, signals))
         if kill:
             self.observe(seen.RouterDown(time.monotonic(), self.name, True))
-            self.process.kill()
+            self._signal(self.process, signal.SIGKILL)
         else:
-            self.process.terminate()
+            self._signal(self.process, signal.SIGTERM)
         try:
-            await asyncio.wait_for(self.process.wait(), self.end_time)
+            self.crashes += await asyncio.wait_for(self.process.wait(), self.end_time) != 0 and not kill
         except TimeoutError:
-            self.process.kill()
+            self._signal(self.process, signal.SIGKILL)
             await self.process.wait()
+        series.cancel()
         if not kill:
             self.observe(seen.RouterDown(time.monotonic(), self.name, False))
 
@@ -267,7 +287,7 @@
             router.stall(step.do == "stall")
             return
         router.wanted = False
-        self.soon(self._restart(router, step.do))
+        self.soon(self._restart(router, step))
 
     def soon(self, work: Coroutine[Any, Any, None]) -> None:
         """Do something beside the rest; it is waited for at the end."""
@@ -281,9 +301,9 @@
         except (RouterError, OSError, ValueError, TimeoutError) as e:
             self.faults.append(f"{router.name}: upgrade: {e!r}")
 
-    async def _restart(self, router: Router, how: str) -> None:
+    async def _restart(self, router: Router, step: Step) -> None:
         try:
-            await router.end(kill=how == "kill")
+            await router.end(kill=step.do == "kill", signals=round(step.value))
             await router.start()
         except RouterError as e:
             self.faults.append(str(e))
@@ -297,6 +317,8 @@
     def found(self) -> list[str]:
         """What went wrong with the processes themselves."""
         crashed = [
-            f"{r.name} ended by itself ({r.crashes} times): see {r.log}" for r in self.each if r.crashes
+            f"{r.name} ended by itself, or not with 0 ({r.crashes} times): see {r.log}"
+            for r in self.each
+            if r.crashes
         ]
         return self.faults + crashed
--- a/myrtlecourse/fleet/scenario.py
+++ b/myrtlecourse/fleet/scenario.py
@@ -222,6 +222,9 @@
     router: Annotated[int, Meta(ge=0)] | None = None  # by number, or
     holder: str | None = None  # who holds this duty by then
     kill: bool = False
+    signals: Annotated[int, Meta(ge=0, le=1000)] = (
+        0  # SIGHUP and SIGTERM by turns, before and after the first
+    )
 
 
 class Stall(Struct, forbid_unknown_fields=True, frozen=True, tag="stall", tag_field="what"):
--- a/myrtlecourse/soak/draw.py
+++ b/myrtlecourse/soak/draw.py
@@ -163,7 +163,7 @@
             lambda: fleet.Slow(self._at(2.0), self._box(), self._long(0.5, 3.0)),
             lambda: fleet.IdleDrop(self._at(), self._box()),
             lambda: fleet.DiscoveryAway(self._at(3.0), self._long(0.5, 5.0)),
-            lambda: fleet.Restart(self._at(3.0), self._router()),
+            lambda: fleet.Restart(self._at(3.0), self._router(), signals=self._signals()),
             lambda: fleet.Restart(self._at(3.0), self._router(), kill=True),
             lambda: fleet.Stall(self._at(1.0), self._long(0.05, 0.4), self._router()),
             lambda: fleet.Reload(self._at(), self._router(), self.chance.randint(2, 30), 0.02),
@@ -190,6 +190,9 @@
     def _several(self) -> int:
         return max(1, self.boxes // 6)
 
+    def _signals(self) -> int:
+        return self.chance.choice([0, 4, 100])
+
     def _crowd(self) -> int:
         return self.chance.choice([100, 400, 1200])
 
--- a/tests/test_fleet_routers.py
+++ b/tests/test_fleet_routers.py
@@ -36,3 +36,27 @@
     (up,) = [each for each in told if isinstance(each, seen.RouterUp)]
     began = re.search(r"began ([0-9.]+)", (tmp_path / "router-0.log").read_text())
     assert began is not None and up.at <= float(began[1])
+
+
+ENDS = """
+import signal, sys, time
+signal.signal(signal.SIGHUP, lambda *_: None)
+signal.signal(signal.SIGTERM, lambda *_: sys.exit(int(sys.argv[1])))
+print("listening on 127.0.0.1:9", flush=True)
+time.sleep(60)
+"""
+
+
+@pytest.mark.parametrize("code", [0, 3])
+def test_a_router_that_is_told_to_end_and_does_so_with_another_code_than_0_counts_as_crashed(
+    code: int, tmp_path: Path
+) -> None:
+    async def start() -> int:
+        command = shlex.join([sys.executable, "-c", ENDS, str(code)])
+        router = Router("router-0", command, tmp_path, lambda _: None)
+        router.config.write_text("{}")
+        await router.start()
+        await router.end(kill=False)
+        return router.crashes
+
+    assert asyncio.run(start()) == (code != 0)
