--- a/myrtlecourse/fleet/faults.py
+++ b/myrtlecourse/fleet/faults.py
@@ -17,8 +17,8 @@
     """What happens to one part of the fleet: `do` to `target` at so many seconds after the start.
 
     `target` is a box, `origin`, `discovery`, `router-N` or `holder-DUTY-N` (who holds a duty when the fault
-    with that number begins); `value` is the factor of a pace, the share of spoilt answers, or how many further
-    signals come at a restart; `lasts` tells how long it will be so, where a later step ends it.
+    with that number begins); `value` is the factor of a pace, the share of spoilt answers, or how many
+    further signals come at a restart; `lasts` tells how long it will be so, where a later step ends it.
     """
 
     at: float
