Write votes and promises whole though a write takes only a part

What callers saw: a router of a fleet with duties or a moving address that could not start again, its memory 'torn'; or, with the file taken away, one that had forgotten what it had promised. Cause: write() may take fewer bytes than it is given, as it does on a disk that is nearly full. What it answered was not looked at, and half a file took the place of a whole one. Evidence: two new tests (half of each write; no space after 20 bytes) failed before, the first with a torn memory, the second without an error. Fix: writes go on until all is written; a file that could not be written is removed and the old one stays. The log of control machines had this loop already; both call one piece now, and one that syncs a folder. Looked for elsewhere: spread/applied.py looks at the count, ops/store.py writes by Python's buffered file, which loops.

--- a/myrtlecourse/checked.py
+++ b/myrtlecourse/checked.py
@@ -3,21 +3,43 @@
 from __future__ import annotations
 
 import os
+from contextlib import suppress
 from pathlib import Path
 
 
+def write_all(descriptor: int, data: bytes) -> None:
+    """Write all of it: one call may write a part, as on a disk that is nearly full. Raises OSError."""
+    rest = memoryview(data)
+    while rest:
+        rest = rest[os.write(descriptor, rest) :]
+
+
 def replace_file(path: Path, data: bytes) -> None:
     """Write a file anew; whoever reads it finds the old or the new one, after a crash too. Raises OSError."""
     new = path.with_suffix(".new")
-    descriptor = os.open(new, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
     try:
-        os.write(descriptor, data)
+        _write_to_disk(new, data)
+        new.rename(path)
+    except OSError:
+        with suppress(OSError):
+            new.unlink()  # half written, perhaps
+        raise
+    sync_folder(path.parent)
+
+
+def _write_to_disk(path: Path, data: bytes) -> None:
+    descriptor = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
+    try:
+        write_all(descriptor, data)
         os.fsync(descriptor)
     finally:
         os.close(descriptor)
-    new.rename(path)
-    folder = os.open(path.parent, os.O_RDONLY | os.O_CLOEXEC)
+
+
+def sync_folder(path: Path) -> None:
+    """Put the names in a folder on the disk. Raises OSError."""
+    folder = os.open(path, os.O_RDONLY | os.O_CLOEXEC)
     try:
-        os.fsync(folder)  # the name, too
+        os.fsync(folder)
     finally:
         os.close(folder)
--- a/myrtlecourse/spread/log_file.py
+++ b/myrtlecourse/spread/log_file.py
@@ -18,6 +18,7 @@
 import msgspec
 from msgspec import Meta
 
+from myrtlecourse.checked import sync_folder, write_all
 from myrtlecourse.spread import head_events as at
 from myrtlecourse.spread.head_events import LogError, Record, Saved
 from myrtlecourse.spread.messages import KEY, LARGEST, LONGEST_VALUE, Change, Entry, Purge
@@ -169,7 +170,7 @@
         self.highest.setdefault(path, 0)
         self.file = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_APPEND | os.O_CLOEXEC, 0o600)
         self._cut()
-        self._sync_folder()
+        sync_folder(self.folder)
 
     def _cut(self) -> None:
         """Guards the log: nothing is written behind what is torn."""
@@ -177,13 +178,6 @@
         os.fsync(self.file)
         self.torn = False
 
-    def _sync_folder(self) -> None:
-        folder = os.open(self.folder, os.O_RDONLY | os.O_CLOEXEC)
-        try:
-            os.fsync(folder)
-        finally:
-            os.close(folder)
-
     def append(self, records: tuple[Record, ...]) -> None:
         """Write records down, on the disk before this returns. Blocks, as long as a disk may.
 
@@ -198,7 +192,7 @@
         rest = [record for record in records if not isinstance(record, at.Snapshot)]
         data = b"".join(map(packed, rest))
         try:
-            self._write(self.file, data)
+            write_all(self.file, data)
             os.fsync(self.file)
         except OSError:
             self.torn = True
@@ -222,12 +216,12 @@
         new = self.folder / "snapshot.new"
         file = os.open(new, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_CLOEXEC, 0o600)
         try:
-            self._write(file, packed(record))
+            write_all(file, packed(record))
             os.fsync(file)
         finally:
             os.close(file)
         new.rename(self.folder / "snapshot")
-        self._sync_folder()
+        sync_folder(self.folder)
         self.upto = record.upto
 
     def _roll(self) -> None:
@@ -236,9 +230,9 @@
         data = packed(at.Promise(self.promised)) + packed(at.Lasts(self.lasting))
         file = os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC | os.O_APPEND | os.O_CLOEXEC, 0o600)
         try:
-            self._write(file, data)
+            write_all(file, data)
             os.fsync(file)
-            self._sync_folder()
+            sync_folder(self.folder)
         except OSError:
             os.close(file)
             with suppress(OSError):
@@ -257,9 +251,3 @@
         """Let another process have it."""
         os.close(self.file)
         os.close(self.lock)
-
-    @staticmethod
-    def _write(file: int, data: bytes) -> None:
-        view = memoryview(data)
-        while view:
-            view = view[os.write(file, view) :]
--- a/tests/test_folder_faults.py
+++ b/tests/test_folder_faults.py
@@ -14,6 +14,8 @@
 import pytest
 
 from myrtlecourse.config import read_config
+from myrtlecourse.duties.memory import read_memories, write_memories
+from myrtlecourse.duties.messages import Memory
 from myrtlecourse.ops.lives import Lives
 from myrtlecourse.ops.orders import OrdersError
 from myrtlecourse.ops.store import Store
@@ -104,3 +106,38 @@
         older.end()
 
     run(scenario)
+
+
+def short_writes(monkeypatch: pytest.MonkeyPatch, error_after: int | None = None) -> None:
+    """Let each write take half of what it is given, and fail once so many bytes are there."""
+    write, written = os.write, 0
+
+    def half(descriptor: int, data: bytes) -> int:
+        nonlocal written
+        if error_after is not None and written >= error_after:
+            raise FULL
+        done = write(descriptor, data[: max(1, len(data) // 2)])
+        written += done
+        return done
+
+    monkeypatch.setattr(os, "write", half)
+
+
+def test_a_write_that_takes_a_part_is_gone_on_with(tmp_path: Path, monkeypatch: pytest.MonkeyPatch) -> None:
+    """What a router had promised was replaced by half a file, which the next start refused."""
+    memories = {"purge": Memory(term=7, voted="router-1", value=(1, 2, 3))}
+    short_writes(monkeypatch)
+    write_memories(tmp_path / "memory", memories)
+    assert read_memories(tmp_path / "memory") == memories
+
+
+def test_a_disk_that_fills_in_the_midst_of_a_write_leaves_what_was_there(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    memories = {"purge": Memory(term=7, voted="router-1", value=(1, 2, 3))}
+    write_memories(tmp_path / "memory", memories)
+    short_writes(monkeypatch, error_after=20)
+    with pytest.raises(OSError, match="No space"):
+        write_memories(tmp_path / "memory", {"purge": Memory(term=8)})
+    assert read_memories(tmp_path / "memory") == memories
+    assert [path.name for path in tmp_path.iterdir()] == ["memory"]
