Tell which process of an upgrade is the newer by the monotonic clock

What callers saw: after the wall clock was set back the process that ends kept half of the descriptors to its exit, and the new one turned clients away that it had room for. Cause: who is newer was read off Unix times of the two starts. Evidence: the new test, in which the older one was dealt 500 descriptors of 1,000 while it ended, in place of 48. Fix: starts are told in nanoseconds of the monotonic clock, which all processes of a machine share. At the one upgrade from a program before this one the two times are of different clocks, and the former deal holds once more.

--- a/myrtlecourse/ops/lives.py
+++ b/myrtlecourse/ops/lives.py
@@ -23,7 +23,7 @@
 class Claim:
     """What another process that lives may hold."""
 
-    born: int  # nanoseconds, Unix time
+    born: int  # nanoseconds on the machine's monotonic clock, which no step of the wall clock moves
     descriptors: int
 
 
@@ -45,7 +45,7 @@
 
     def __init__(self, folder: Path) -> None:
         """Raises OSError when the folder can't be written."""
-        self.born = time.time_ns()
+        self.born = time.monotonic_ns()
         self.folder = folder
         self.path = folder / f"myrtlecourse-{self.born}-{os.getpid()}{ENDING}"
         self.file = os.open(self.path, os.O_RDWR | os.O_CREAT | os.O_EXCL | os.O_CLOEXEC, 0o600)
--- a/tests/test_folder_faults.py
+++ b/tests/test_folder_faults.py
@@ -6,6 +6,7 @@
 import errno
 import fcntl
 import os
+import time
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -16,7 +17,7 @@
 from myrtlecourse.config import read_config
 from myrtlecourse.duties.memory import read_memories, write_memories
 from myrtlecourse.duties.messages import Memory
-from myrtlecourse.ops.lives import Lives
+from myrtlecourse.ops.lives import SPARE, Lives, share
 from myrtlecourse.ops.orders import OrdersError
 from myrtlecourse.ops.store import Store
 from myrtlecourse.service import Service
@@ -141,3 +142,24 @@
         write_memories(tmp_path / "memory", {"purge": Memory(term=8)})
     assert read_memories(tmp_path / "memory") == memories
     assert [path.name for path in tmp_path.iterdir()] == ["memory"]
+
+
+def test_which_process_is_the_newer_is_known_though_the_wall_clock_was_set_back(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The older one of an upgrade took itself for the newer, and gave nothing up as it ended."""
+
+    async def scenario() -> None:
+        older = Lives(tmp_path)
+        hour_ago = time.time_ns() - 3600 * 10**9
+        monkeypatch.setattr(time, "time_ns", lambda: hour_ago)
+        newer = Lives(tmp_path)
+        older.claim(500)
+        newer.claim(500)
+        (of_newer,), (of_older,) = older.others(), newer.others()
+        assert share(1000, 40, True, older.born, [of_newer]) == 40 + SPARE
+        assert share(1000, 40, False, newer.born, [of_older]) == 500
+        newer.end()
+        older.end()
+
+    run(scenario)
