Judge how late peers' words are by a clock that no step of the wall clock moves

What callers saw: after a step of one router's wall clock by more than 10 s all that its peers said was dropped as too late, or all that it said at them, so that it neither left zones with the others nor came back with them, with no end but another step. Only where routers may talk. Cause: the time in a datagram, and that by which it is judged, were read off the wall clock each time. Evidence: the new tests (an hour forward and back) failed before. Fix: both are the Unix time of the start, going on by the monotonic clock, as the decisions have it. Left open: a process that starts after its wall clock was set back has a lower start than the one before, and is not heard until that time has passed again; nothing but the wall clock orders two starts.

--- a/myrtlecourse/peers/speaker.py
+++ b/myrtlecourse/peers/speaker.py
@@ -4,12 +4,12 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Callable
 from contextlib import suppress
 from typing import Any
 
 from myrtlecourse import interface as api
+from myrtlecourse.net.clock import Clock
 from myrtlecourse.net.logs import BoundedLog
 from myrtlecourse.peers.gossip import PACE
 from myrtlecourse.peers.seal import Dropped
@@ -37,6 +37,8 @@
         self.bind = bind
         self.peers = peers
         self.clock = clock
+        # guards peers' words: after a step of the wall clock all would look late, here or there
+        self.unix = Clock()
         self.post = post
         self.transport: asyncio.DatagramTransport | None = None
         self.running: list[asyncio.Task[None]] = []
@@ -70,7 +72,7 @@
             await asyncio.sleep(PACE)
 
     def _tick(self) -> None:
-        done = self.agent.tick(self.clock(), time.time())
+        done = self.agent.tick(self.clock(), self.unix.now())
         for change in done.changes:
             log.info("zone %s: %s", change.zone, change.text)
         if done.left is not None:
@@ -90,7 +92,7 @@
 
     def datagram_received(self, data: bytes, addr: Any) -> None:
         try:
-            self.agent.receive(data, self.clock(), time.time())
+            self.agent.receive(data, self.clock(), self.unix.now())
         except Dropped as e:
             bounded.log(logging.WARNING, "a datagram of %s:%s was dropped: %s", addr[0], addr[1], e)
 
--- /dev/null
+++ b/tests/test_peers_speaker.py
@@ -0,0 +1,35 @@
+"""The socket of a router's peers: what their words are judged by."""
+
+from __future__ import annotations
+
+import time
+from typing import Any, cast
+
+import pytest
+
+from myrtlecourse.peers.speaker import Speaker
+from myrtlecourse.zones.agent import Agent
+
+
+class Listener:
+    """Notes by which time each datagram is judged."""
+
+    def __init__(self) -> None:
+        self.times: list[float] = []
+
+    def receive(self, data: bytes, now: float, wall: float) -> None:
+        self.times.append(wall)
+
+
+@pytest.mark.parametrize("step", [3600.0, -3600.0])
+def test_a_step_of_the_wall_clock_makes_no_datagram_late(
+    step: float, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """All that peers said was dropped as too late, or all that this router said to them."""
+    listener = Listener()
+    speaker = Speaker(cast(Agent, listener), ("127.0.0.1", 0), {}, time.monotonic, lambda _: None)
+    before, wall = time.time(), time.time
+    monkeypatch.setattr(time, "time", lambda: wall() + step)
+    address: Any = ("127.0.0.1", 9)
+    speaker.datagram_received(b"", address)
+    assert listener.times == [pytest.approx(before, abs=60.0)]
