--- a/myrtlecourse/fleet/ports.py
+++ b/myrtlecourse/fleet/ports.py
@@ -13,6 +13,7 @@
 import time
 from collections import deque
 from collections.abc import Callable
+from contextlib import suppress
 from typing import cast
 
 PORTS = (10_000, 30_000)  # below those that the system gives out by itself
@@ -32,7 +33,8 @@
     """
     if cut:
         target.setsockopt(socket.SOL_SOCKET, SO_ATTACH_FILTER, PROGRAM)
-    else:
+        return
+    with suppress(FileNotFoundError):  # mended before: two cuts may overlap
         target.setsockopt(socket.SOL_SOCKET, SO_DETACH_FILTER, 0)
 
 
--- a/myrtlecourse/fleet/routers.py
+++ b/myrtlecourse/fleet/routers.py
@@ -161,8 +161,8 @@
 
     def stall(self, stopped: bool) -> None:
         """Let its process stand still, or go on."""
-        if self.process is not None and self.process.returncode is None:
-            self.process.send_signal(signal.SIGSTOP if stopped else signal.SIGCONT)
+        if self.process is not None:
+            self._signal(self.process, signal.SIGSTOP if stopped else signal.SIGCONT)
 
     def reload(self) -> None:
         """Tell its process to read its configuration anew."""
@@ -270,6 +270,9 @@
     def do(self, step: Step) -> None:
         """Restart one, kill it and start it again, or start it beside itself."""
         router = self.each[int(step.target.rpartition("-")[2])]
+        if step.do == "go_on":
+            router.stall(False)  # also one that was told to end since: nothing else would let it go on
+            return
         if not router.wanted:
             return  # it is ending or starting already
         if step.do == "reload":
@@ -281,10 +284,9 @@
         if step.do == "upgrade":
             self.soon(self._upgrade(router))
             return
-        if step.do in ("stall", "go_on"):
-            if step.do == "stall":
-                router.observe(seen.Stalled(time.monotonic(), router.name, step.lasts))
-            router.stall(step.do == "stall")
+        if step.do == "stall":
+            router.observe(seen.Stalled(time.monotonic(), router.name, step.lasts))
+            router.stall(True)
             return
         router.wanted = False
         self.soon(self._restart(router, step))
--- a/tests/test_fleet_routers.py
+++ b/tests/test_fleet_routers.py
@@ -5,13 +5,17 @@
 import asyncio
 import re
 import shlex
+import socket
 import sys
+import time
 from pathlib import Path
 
 import pytest
 
 from myrtlecourse.audit import observations as seen
-from myrtlecourse.fleet.routers import Router
+from myrtlecourse.fleet.faults import Step
+from myrtlecourse.fleet.ports import cut_off
+from myrtlecourse.fleet.routers import Router, Routers
 
 pytestmark = pytest.mark.processes
 ROUTER = """
@@ -60,3 +64,32 @@
         return router.crashes
 
     assert asyncio.run(start()) == (code != 0)
+
+
+def test_a_router_that_is_told_to_end_while_it_stands_still_goes_on_when_it_was_to(tmp_path: Path) -> None:
+    """It stood until it was killed, and what it had taken counted as lost."""
+
+    async def play() -> tuple[float, int]:
+        routers = Routers(
+            ["router-0"], shlex.join([sys.executable, "-c", ENDS, "0"]), tmp_path, lambda _: None
+        )
+        (router,) = routers.each
+        router.config.write_text("{}")
+        router.end_time = 20.0
+        await router.start()
+        began = time.monotonic()
+        for what in ("stall", "restart", "go_on"):
+            routers.do(Step(0.0, what, "router-0"))
+        await asyncio.wait(routers.restarts)
+        await routers.end()
+        return time.monotonic() - began, router.crashes
+
+    took, crashes = asyncio.run(play())
+    assert took < 15.0 and not crashes
+
+
+def test_a_cut_that_is_mended_twice_is_mended() -> None:
+    with socket.socket() as one:
+        cut_off(one, True)
+        cut_off(one, False)
+        cut_off(one, False)
