Take out a way to compute virtual nodes that only tests used

The ring's tests compare with their own computation of the positions, which stands in test_ring.py and shares nothing with the ring's; that more weight moves no node is asserted of the function that the ring calls.

--- a/myrtlecourse/policy/ring.py
+++ b/myrtlecourse/policy/ring.py
@@ -32,13 +32,6 @@
     return struct.unpack(">8Q", hashlib.blake2b(text.encode()).digest())
 
 
-def virtual_nodes(server: str, count: int) -> tuple[int, ...]:
-    """The first virtual nodes of a server; more weight adds to them and moves none."""
-    digests = _digests(server, count)
-    positions: tuple[int, ...] = struct.unpack(f">{len(digests) // 8}Q", digests)
-    return positions[:count]
-
-
 def _digests(server: str, count: int) -> bytes:
     """At least so many virtual nodes of a server, eight bytes each."""
     name = f"{server}-vnode-".encode()
@@ -46,7 +39,10 @@
 
 
 def kept_nodes(server: str, count: int) -> list[int]:
-    """What is kept of each of the first virtual nodes of a server, its bucket's number included."""
+    """What is kept of each of the first virtual nodes of a server, its bucket's number included.
+
+    More weight adds to them and moves none.
+    """
     digests = _digests(server, count)
     # in halves, which compiled code holds without an object, as it does all that is made of them
     halves: tuple[int, ...] = struct.unpack(f">{len(digests) // 4}I", digests)
--- a/tests/test_ring.py
+++ b/tests/test_ring.py
@@ -26,7 +26,7 @@
 
 
 def test_more_weight_adds_points_and_moves_none() -> None:
-    assert ring.virtual_nodes("s", 100)[:37] == ring.virtual_nodes("s", 37)
+    assert ring.kept_nodes("s", 100)[:37] == ring.kept_nodes("s", 37)
 
 
 def primary_of(key: str, servers: dict[str, int]) -> str:
--- a/tests/test_ring_scale.py
+++ b/tests/test_ring_scale.py
@@ -19,6 +19,7 @@
 from tests.driver import Driver, entry
 from tests.driver import settings as conf
 from tests.loopback import needs_sources
+from tests.test_ring import nodes_of
 
 steps = st.lists(st.tuples(st.integers(0, 90), st.integers(0, tuning.POINTS)), max_size=200)
 
@@ -26,7 +27,7 @@
 def placed(counts: dict[str, int]) -> list[tuple[int, str]]:
     """Points in their order, by plain sorting, as far as the ring keeps their positions."""
     cut = rings.CUT_BITS
-    return sorted((p >> cut << cut, name) for name, n in counts.items() for p in rings.virtual_nodes(name, n))
+    return sorted((p >> cut << cut, name) for name, n in counts.items() for p in nodes_of(name, n))
 
 
 @settings(max_examples=30)
