Move a candidate's question and its answers out of the election's core

What was asked, when, in which term, who granted and who denied stood as seven fields of the election; they are one value now, which counts by itself and is replaced with each question. No decision changes. Result: test_election, test_duties, test_duty_parts and test_address without processes pass, the exhaustive check among them.

--- a/myrtlecourse/election/core.py
+++ b/myrtlecourse/election/core.py
@@ -14,6 +14,7 @@
 import random
 from enum import Enum
 
+from myrtlecourse.election.ballot import Ballot
 from myrtlecourse.election.count import Count
 from myrtlecourse.election.invitations import Invitations
 from myrtlecourse.election.messages import (
@@ -81,13 +82,7 @@
         self.word_until = -math.inf
         self.stand_at = math.inf
         self.count = count or Count(self.random)
-        self.number = 0  # of the last question
-        self.asked_at = 0.0
-        self.granted: set[str] = set()
-        self.denied: set[str] = set()
-        self.denied_in = -1  # the highest term of those
-        self.asked_term = -1
-        self.asked_again = False  # in a higher term, as the one before was too low for a majority
+        self.ballot = Ballot()
         self.beats: dict[int, float] = {}  # when each question of this term was asked
         self.renewed: dict[str, float] = {}  # when the last question was asked that each voter has answered
         self.lease_until = -math.inf
@@ -154,7 +149,10 @@
                 self._withdraw("not able to serve")
             elif self.now >= self.beat_at:
                 self._beat()
-        elif self.role in (Role.TRYING, Role.STANDING) and self.now >= self.asked_at + settings.heartbeat:
+        elif (
+            self.role in (Role.TRYING, Role.STANDING)
+            and self.now >= self.ballot.asked_at + settings.heartbeat
+        ):
             self._fall_back()  # no majority answered in time: a later answer is of another question
         if self.role is Role.BACKUP and self.now < self.offered_until:
             self._stand_as_offered()
@@ -188,7 +186,7 @@
             times = [self.beat_at, self.lease_until - self.settings.heartbeat / 2]
             return min([*times, self.unwell_since + self.settings.unwell])
         if self.role in (Role.TRYING, Role.STANDING):
-            return self.asked_at + self.settings.heartbeat
+            return self.ballot.asked_at + self.settings.heartbeat
         if self.role is Role.LEAVING:
             return math.inf
         if self.now < self.offered_until:
@@ -313,15 +311,11 @@
         self.out.append(Tell(sender, Grant(ask.term, ask.number, ask.trial)))
 
     def _on_grant(self, sender: str, grant: Grant) -> None:
-        wanted = {Role.TRYING: True, Role.STANDING: False}.get(self.role)
-        if wanted is None or grant.trial is not wanted or grant.number != self.number:
+        if self.role not in (Role.TRYING, Role.STANDING):
             return
-        if sender not in self.settings.voters:
+        if not self.ballot.grant(sender, grant, self.settings):
             return
-        self.granted.add(sender)
-        if len(self.granted) < self.settings.majority:
-            return
-        if wanted:
+        if self.ballot.trial:
             self._stand()
         else:
             self._win()
@@ -330,12 +324,7 @@
         if self.role in (Role.BACKUP, Role.LEAVING):
             self._learn(term)
         # a holder goes on until its lease is over: it may be that none is in the higher term
-        if self.role not in (Role.TRYING, Role.STANDING) or sender not in self.settings.voters:
-            return
-        self.denied.add(sender)
-        self.denied_in = max(term, self.denied_in)
-        # one voter ahead of a majority says nothing: whoever held in its term had the word of one of them
-        if len(self.denied) > len(self.settings.voters) - self.settings.majority:
+        elif self.role is not Role.HOLDER and self.ballot.deny(sender, term, self.settings):
             self._on_denied_by_majority()
 
     def _on_denied_by_majority(self) -> None:
@@ -343,16 +332,16 @@
 
         Guards a move: whoever was named for it is asked to stand just once.
         """
-        role, asked = self.role, self.asked_term
+        denied = self.ballot
         self._fall_back()
-        self._learn(self.denied_in)
-        if self.denied_in < asked or self.asked_again:
+        self._learn(denied.highest_denial)
+        if not denied.too_low:
             return
-        if role is Role.TRYING:
+        if denied.trial:
             self._try()
         else:
             self._stand()
-        self.asked_again = True
+        self.ballot.again = True
 
     def _on_beat(self, sender: str, beat: Beat) -> None:
         if not self.settings.votes:
@@ -397,19 +386,18 @@
         self._ask(self.term, trial=False)
 
     def _ask(self, term: int, trial: bool) -> None:
-        self.number = self.count.at(self.now)
-        self.asked_at = self.now
-        self.granted, self.denied = {self.settings.name} if self.settings.votes else set(), set()
-        self.denied_in, self.asked_term, self.asked_again = -1, term, False
-        self._tell_all(Ask(term, self.number, trial))
+        self.ballot = Ballot(term, self.count.at(self.now), trial, self.now)
+        if self.settings.votes:
+            self.ballot.granted.add(self.settings.name)
+        self._tell_all(Ask(term, self.ballot.number, trial))
         if self.settings.majority == 1 and self.settings.votes:
-            self._on_grant(self.settings.name, Grant(term, self.number, trial))
+            self._on_grant(self.settings.name, Grant(term, self.ballot.number, trial))
 
     def _win(self) -> None:
         self.role = Role.HOLDER
         self.offered_until = -math.inf
         self.invitations.end()
-        self.renewed = dict.fromkeys(self.granted, self.asked_at)
+        self.renewed = dict.fromkeys(self.ballot.granted, self.ballot.asked_at)
         self.lease_until = -math.inf
         self.beats.clear()
         self._count_lease()
@@ -421,13 +409,13 @@
 
     def _beat(self) -> None:
         """Ask all for another lease."""
-        self.number = self.count.at(self.now)
-        self.beats[self.number] = self.now
+        number = self.count.at(self.now)
+        self.beats[number] = self.now
         # what is older than a lease renews nothing any more
-        for number in [n for n, at in self.beats.items() if at < self.now - self.settings.lease]:
-            del self.beats[number]
+        for old in [n for n, at in self.beats.items() if at < self.now - self.settings.lease]:
+            del self.beats[old]
         self.beat_at = self.now + self.settings.heartbeat
-        self._tell_all(Beat(self.term, self.number))
+        self._tell_all(Beat(self.term, number))
         self._count_lease()
 
     def join(self, now: float) -> list[Action]:
@@ -442,7 +430,6 @@
     def _fall_back(self) -> None:
         self.role = Role.BACKUP
         self.stand_at = math.inf
-        self.granted.clear()
 
     def _withdraw(self, why: str) -> None:
         """Give the address up; the others hear of it once nothing is accepted any more."""
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -367,7 +367,7 @@
             for sender in ("b", "c"):
                 election.handle(now, said.Heard(sender, said.Grant(asks[0].term, asks[0].number, True)))
     late = now + settings().lease
-    answer = said.Grant(election.term, election.number, False)
+    answer = said.Grant(election.term, election.ballot.number, False)
     assert not any(isinstance(a, said.Announce) for a in election.handle(late, said.Heard("b", answer)))
     assert not election.holds(late)
 
@@ -449,11 +449,11 @@
     now = voter.stand_at
     voter.handle(now, said.Woke())
     for trial in (True, False):
-        voter.handle(now, said.Heard("b", said.Grant(voter.term + trial, voter.number, trial)))
+        voter.handle(now, said.Heard("b", said.Grant(voter.term + trial, voter.ballot.number, trial)))
     for _ in range(int(3600 * hours / told.heartbeat)):
         now += told.heartbeat
         voter.handle(now, said.Woke())
-        voter.handle(now, said.Heard("b", said.Renew(voter.term, voter.number)))
+        voter.handle(now, said.Heard("b", said.Renew(voter.term, max(voter.beats))))
     assert voter.holds(now)
     return voter, now
 
@@ -558,7 +558,7 @@
         if event is not None:
             holder.handle(now, said.Heard("a", event))
         for voter in ("a", "b"):
-            grant = said.Grant(holder.term + trial, holder.number, trial)
+            grant = said.Grant(holder.term + trial, holder.ballot.number, trial)
             holder.handle(now, said.Heard(voter, grant))
     assert holder.holds(now)
     holder.handle(now, said.Move("y"))
