Leave the log of elections' messages out of what is compiled, as all of duties/ is

Cause: the new module imports messages that are left out of the compiled form, and was not left out itself.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -38,6 +38,7 @@
     "duties/lead.py",
     "duties/member.py",
     "duties/memory.py",
+    "duties/message_log.py",
     "duties/messages.py",
     "duties/setup.py",
     "duties/steps.py",
