Count what comes to a killed router until its process is gone as its clients' to ask again

SIGKILL only takes effect when the kernel gives the process a core to end on; until then its sockets take requests. Change: RouterDown is observed a second time, once the process is gone. The new test failed before (one observation, ahead of the end).

--- a/myrtlecourse/fleet/routers.py
+++ b/myrtlecourse/fleet/routers.py
@@ -218,8 +218,8 @@
             self._signal(self.process, signal.SIGKILL)
             await self.process.wait()
         series.cancel()
-        if not kill:
-            self.observe(seen.RouterDown(time.monotonic(), self.name, False))
+        # a killed process still takes requests until the kernel has ended it
+        self.observe(seen.RouterDown(time.monotonic(), self.name, kill))
 
 
 def zones_back(log: Path) -> list[tuple[float, dict[str, float]]]:
--- a/tests/test_fleet_routers.py
+++ b/tests/test_fleet_routers.py
@@ -42,6 +42,31 @@
     assert began is not None and up.at <= float(began[1])
 
 
+def test_a_killed_router_is_down_once_its_process_is_gone(tmp_path: Path) -> None:
+    """What came to it between the signal and its end counted as lost, as if nobody had killed it."""
+    told: list[seen.Observation] = []
+    gone: list[float] = []
+
+    async def start() -> None:
+        router = Router("router-0", shlex.join([sys.executable, "-c", ROUTER]), tmp_path, told.append)
+        router.config.write_text("{}")
+        await router.start()
+        assert router.process is not None
+        wait = router.process.wait
+
+        async def waited() -> int:
+            code = await wait()
+            gone.append(time.monotonic())
+            return code
+
+        router.process.wait = waited  # type: ignore[method-assign]
+        await router.end(kill=True)
+
+    asyncio.run(start())
+    first, *_, last = [each for each in told if isinstance(each, seen.RouterDown)]
+    assert first.killed and last.killed and first.at < gone[0] <= last.at
+
+
 ENDS = """
 import signal, sys, time
 signal.signal(signal.SIGHUP, lambda *_: None)
