Tell a killed router's end from the signal by an observation of its own

The end of the process is RouterGone now. An end that its client sees between the two was still judged by the signal's time: the new case in test_audit (asked 0.14 s after the signal, ended before the process was gone) failed before.

--- a/myrtlecourse/audit/auditor.py
+++ b/myrtlecourse/audit/auditor.py
@@ -120,7 +120,7 @@
     quiet: float = -math.inf  # since when none is
     failed: bool = False  # the last one
     up: float = -math.inf
-    killed: float | None = None
+    killed: float | None = None  # when its process was gone; endless until then
 
     def learn(self, at: float, box: str, status: str, since: float) -> None:
         """It is told an entry."""
@@ -212,13 +212,15 @@
                 else:
                     bans.setdefault(what.box, what.at)
             case seen.RouterUp():
-                self.routers[what.router] = Knowledge(
-                    quiet=what.at, up=what.at, killed=self._router(what.router).killed
-                )
+                killed = self._router(what.router).killed
+                killed = None if killed is None else min(killed, what.at)
+                self.routers[what.router] = Knowledge(quiet=what.at, up=what.at, killed=killed)
             case seen.Stalled():
                 self.stalls.setdefault(what.router, []).append((what.at, what.at + what.seconds))
             case seen.RouterDown():
-                self._router(what.router).killed = what.at if what.killed else None
+                self._router(what.router).killed = math.inf if what.killed else None
+            case seen.RouterGone():
+                self._router(what.router).killed = what.at
 
     def _router(self, name: str) -> Knowledge:
         return self.routers.setdefault(name, Knowledge(quiet=self.now))
--- a/myrtlecourse/audit/observations.py
+++ b/myrtlecourse/audit/observations.py
@@ -141,6 +141,12 @@
     killed: bool
 
 
+class RouterGone(Seen, frozen=True, tag="router_gone"):
+    """The kernel has ended a killed router's process, whose sockets took requests until then."""
+
+    router: str
+
+
 class Stands(Seen, frozen=True, tag="stands"):
     """A box stands in a zone."""
 
@@ -225,6 +231,7 @@
     | Calls
     | RouterUp
     | RouterDown
+    | RouterGone
     | Stands
     | Happened
     | Dialled
--- a/myrtlecourse/fleet/routers.py
+++ b/myrtlecourse/fleet/routers.py
@@ -218,8 +218,8 @@
             self._signal(self.process, signal.SIGKILL)
             await self.process.wait()
         series.cancel()
-        # a killed process still takes requests until the kernel has ended it
-        self.observe(seen.RouterDown(time.monotonic(), self.name, kill))
+        now = time.monotonic()
+        self.observe(seen.RouterGone(now, self.name) if kill else seen.RouterDown(now, self.name, False))
 
 
 def zones_back(log: Path) -> list[tuple[float, dict[str, float]]]:
--- a/tests/test_audit.py
+++ b/tests/test_audit.py
@@ -99,6 +99,13 @@
             seen.RouterDown(0.2, "n1", True),
             seen.Unanswered(0.21, "r1", "ended"),
         ],
+        [  # it was asked while the kernel ended the process
+            seen.RouterUp(0, "n1"),
+            seen.RouterDown(0.2, "n1", True),
+            asked(0.34),
+            seen.Unanswered(0.35, "r1", "ended"),
+            seen.RouterGone(0.36, "n1"),
+        ],
         [seen.Unasked(0.3, "n1", "")],
         [
             asked(0, effect="single_shot"),
@@ -145,6 +152,12 @@
     assert found(asked(0.1), down, seen.Unanswered(0.21, "r1", "ended")) == {"lost": 1}
 
 
+@pytest.mark.parametrize("again", [seen.RouterGone(0.36, "n1"), seen.RouterUp(0.36, "n1")])
+def test_what_a_killed_router_is_asked_after_its_end_is_lost_as_any_other(again: seen.Observation) -> None:
+    down = seen.RouterDown(0.2, "n1", True)
+    assert found(down, again, asked(0.42), seen.Unanswered(0.5, "r1", "ended")) == {"lost": 1}
+
+
 def test_a_day_is_judged_in_memory_that_does_not_grow_with_it() -> None:
     auditor, most = Auditor(RULES), 0
     for i in range(20_000):
