Reserve a stand-in's ports while nothing listens at them

Cause: a server that is down lets its port go, and any other fleet or test on the machine may draw the same one of 20,000 (a zone of two servers before six routers has 12 ports down for 5 s; each fleet draws some 80). Played on the old code with the draw narrowed to that port: the other fleet gets it, the first ends with EADDRINUSE. Under asyncio's own loop two starts at once did so as well, and an end in the middle of a start was forgotten; under uvloop, which fleets run, neither came. Port.listen and refuse go by what was asked last.

--- a/bench/address_move.py
+++ b/bench/address_move.py
@@ -11,7 +11,6 @@
 import asyncio
 import json
 import os
-import socket
 import sys
 import tempfile
 import time
@@ -25,10 +24,11 @@
 
 from myrtlecourse.audit import observations as seen
 from myrtlecourse.audit.auditor import Auditor
+from myrtlecourse.fleet.reserved_ports import free
 from myrtlecourse.fleet.routers import COMMAND, Router
 from myrtlecourse.fleet.scenario import Scenario
 from myrtlecourse.fleet.stand_in import Fleet
-from myrtlecourse.fleet.switch import Switch, free
+from myrtlecourse.fleet.switch import Switch
 from myrtlecourse.load.generator import Generator
 from myrtlecourse.load.profile import Profile
 from myrtlecourse.load.requests import planned
@@ -73,14 +73,14 @@
         self.fleet = fleet
         self.folder = folder
         self.names = fleet.routers
-        self.switch = Switch({n: free(socket.SOCK_STREAM) for n in self.names})
+        self.switch = Switch({n: free() for n in self.names})
         self.routers = {n: Router(n, COMMAND, folder, observe) for n in self.names}
         (folder / "key").write_bytes(os.urandom(32))
 
     async def start(self) -> None:
         """Bring all up."""
         await self.switch.start()
-        await self.switch.relays.join({n: free(socket.SOCK_DGRAM) for n in self.names})
+        await self.switch.relays.join({n: free() for n in self.names})
         for name in self.names:
             await self.start_one(name)
 
--- a/myrtlecourse/fleet/box_server.py
+++ b/myrtlecourse/fleet/box_server.py
@@ -280,3 +280,5 @@
         """The stand-in ends."""
         self.swept.cancel()
         self.end()
+        for port in self.ports.values():
+            port.close()
--- a/myrtlecourse/fleet/discovery_server.py
+++ b/myrtlecourse/fleet/discovery_server.py
@@ -181,4 +181,5 @@
         """The stand-in ends."""
         if self.timer is not None:
             self.timer.cancel()
-        self.away()
+        for port in self.ports.values():
+            port.close()
--- a/myrtlecourse/fleet/origin_server.py
+++ b/myrtlecourse/fleet/origin_server.py
@@ -212,4 +212,4 @@
         if self.timer is not None:
             self.timer.cancel()
         for port in self.ports.values():
-            port.end()
+            port.close()
--- a/myrtlecourse/fleet/ports.py
+++ b/myrtlecourse/fleet/ports.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import ctypes
-import random
 import socket
 import struct
 import time
@@ -16,7 +15,8 @@
 from contextlib import suppress
 from typing import cast
 
-PORTS = (10_000, 30_000)  # below those that the system gives out by itself
+from myrtlecourse.fleet.reserved_ports import ReservedPort, reserve
+
 BACKLOG = 1024
 SO_ATTACH_FILTER, SO_DETACH_FILTER = 26, 27  # of Linux (socket(7)); not named in the socket module
 DROP_ALL = ctypes.create_string_buffer(
@@ -181,49 +181,49 @@
         self.most = most  # connections
         self.make = make
         self.connections: set[Served] = set()
+        self.reserved: ReservedPort | None = None  # from the first time it listens, until it is closed
+        self.wanted = False  # to listen
         self.server: asyncio.Server | None = None
-        self.number = 0  # the port, once it has listened
+        self.changing = asyncio.Lock()
         self.frozen = False
         self.is_cut = False
 
+    @property
+    def number(self) -> int:
+        """The port, once it has listened; else 0."""
+        return 0 if self.reserved is None else self.reserved.number
+
     async def listen(self) -> None:
         """Take connections; at the same address as before, if there was one."""
-        if self.server is not None:
-            return
-        listening = self._bind()
-        loop = asyncio.get_running_loop()
-        self.server = await loop.create_server(lambda: self.make(self), sock=listening, backlog=BACKLOG)
-        self.listening = listening
+        self.wanted = True
+        async with self.changing:
+            if self.server is None and self.wanted:
+                await self._serve()
+            if not self.wanted:  # refused meanwhile
+                self.refuse()
+
+    async def _serve(self) -> None:
+        if self.reserved is None:
+            self.reserved = reserve()
+        self.listening = listening = socket.create_server(self.reserved.address, backlog=BACKLOG)
         if self.is_cut:
             cut_off(listening, True)
-
-    def _bind(self) -> socket.socket:
-        """A listening socket, on a port below those that the system gives out by itself.
-
-        One of those would be another's when what has died here comes back to its address.
-        """
-        chance = random.SystemRandom()
-        while True:
-            listening = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            number = self.number or chance.randrange(*PORTS)
-            try:
-                listening.bind(("127.0.0.1", number))
-                listening.listen(BACKLOG)
-            except OSError:
-                listening.close()
-                if self.number:
-                    raise
-                continue
-            self.number = number
-            return listening
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(lambda: self.make(self), sock=listening, backlog=BACKLOG)
 
     def refuse(self) -> None:
         """Refuse new connections."""
+        self.wanted = False
         if self.server is not None:
             self.server.close()
             self.server = None
 
+    def close(self) -> None:
+        """End it, and give its port back."""
+        self.end()
+        if self.reserved is not None:
+            self.reserved.release()
+
     def add(self, connection: Served) -> None:
         """A connection has come up."""
         if len(self.connections) >= self.most:
--- a/myrtlecourse/fleet/switch.py
+++ b/myrtlecourse/fleet/switch.py
@@ -8,35 +8,18 @@
 from __future__ import annotations
 
 import asyncio
-import random
 import socket
 import struct
 import time
 from contextlib import suppress
 
-from myrtlecourse.fleet.ports import PORTS
+from myrtlecourse.fleet.reserved_ports import free
 from myrtlecourse.fleet.ways import Relays, Ways
 
 LONGEST_LINE = 256
 CHUNK = 64 * 1024
 
 
-def free(kind: socket.SocketKind) -> tuple[str, int]:
-    """An address on loopback that is free just now, for a process that is told where to listen.
-
-    Guards it until then: of the ports that the system gives away, a connection of others might take it.
-    """
-    chance = random.SystemRandom()
-    while True:
-        with socket.socket(socket.AF_INET, kind) as probe:
-            try:
-                probe.bind(("127.0.0.1", chance.randrange(*PORTS)))
-            except OSError:
-                continue
-            address: tuple[str, int] = probe.getsockname()
-            return address
-
-
 class Switch:
     """The network round one service address."""
 
@@ -56,7 +39,7 @@
         """Open its ports."""
         self.control = await asyncio.start_server(self._told, "127.0.0.1", 0, limit=LONGEST_LINE)
         self.told_at: tuple[str, int] = self.control.sockets[0].getsockname()
-        self.address = free(socket.SOCK_STREAM)  # nobody is there yet: who connects is refused
+        self.address = free()  # nobody is there yet: who connects is refused
         self.server: asyncio.Server | None = None
 
     @property
--- a/myrtlecourse/fleet/ways.py
+++ b/myrtlecourse/fleet/ways.py
@@ -7,12 +7,11 @@
 
 import asyncio
 import random
-import socket
 from collections.abc import Iterable
 from typing import cast
 
 from myrtlecourse.fleet.faults import Step
-from myrtlecourse.fleet.ports import PORTS
+from myrtlecourse.fleet.reserved_ports import ReservedPort, reserve
 
 Way = tuple[str, str]  # from whom to whom
 
@@ -90,29 +89,16 @@
         self.heard_at: dict[str, tuple[str, int]] = {}  # where each router hears the others
         self.at: dict[Way, tuple[str, int]] = {}  # where to send for another
         self.transports: list[asyncio.DatagramTransport] = []
-        self.reserved: list[socket.socket] = []
+        self.reserved: list[ReservedPort] = []
 
     def places(self, names: Iterable[str]) -> dict[str, tuple[str, int]]:
         """An address for each router to hear the others at, free just now.
 
-        Below the ports that the system gives out by itself: one of those would be another's by the time that
-        the router listens. And kept from other fleets on this machine by a socket of another kind at the same
-        port, until these relays end.
+        Each is kept from other fleets on this machine until these relays end.
         """
-        chance, found = random.SystemRandom(), dict[str, tuple[str, int]]()
-        for name in names:
-            while name not in found:
-                keeps = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-                try:
-                    keeps.bind(("127.0.0.1", chance.randrange(*PORTS)))
-                    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
-                        probe.bind(keeps.getsockname())
-                except OSError:
-                    keeps.close()
-                    continue
-                self.reserved.append(keeps)
-                found[name] = keeps.getsockname()
-        return found
+        found = {name: reserve() for name in names}
+        self.reserved += found.values()
+        return {name: each.address for name, each in found.items()}
 
     async def join(self, heard_at: dict[str, tuple[str, int]]) -> None:
         """Open a way between any two."""
@@ -130,5 +116,5 @@
         """End them."""
         for transport in self.transports:
             transport.close()
-        for keeps in self.reserved:
-            keeps.close()
+        for each in self.reserved:
+            each.release()
--- a/tests/spread_fleet.py
+++ b/tests/spread_fleet.py
@@ -7,7 +7,6 @@
 import os
 import random
 import signal
-import socket
 import sys
 import time
 from collections.abc import AsyncIterator, Callable
@@ -17,7 +16,7 @@
 
 import orjson
 
-from myrtlecourse.fleet.switch import free
+from myrtlecourse.fleet.reserved_ports import free
 from myrtlecourse.fleet.ways import Relay, Relays, Ways
 from tests.loopback import spelled
 from tests.test_service import Process, Site, site
@@ -123,8 +122,8 @@
         self.here = here
         self.ways = Ways()
         self.relays = Relays(self.ways)
-        self.heard_at = {name: free(socket.SOCK_DGRAM) for name in NAMES}
-        self.duties_at = {name: free(socket.SOCK_DGRAM) for name in CONTROL}
+        self.heard_at = {name: free() for name in NAMES}
+        self.duties_at = {name: free() for name in CONTROL}
         self.processes: dict[str, Process] = {}
         self.hollow: dict[str, Hollow] = {}
         self.acknowledged: dict[int, Entry] = {}
--- a/tests/test_address.py
+++ b/tests/test_address.py
@@ -5,7 +5,6 @@
 import asyncio
 import os
 import signal
-import socket
 import stat
 import sys
 from collections.abc import AsyncIterator
@@ -25,7 +24,8 @@
 from myrtlecourse.address.votes import VotesError, read_votes, write_votes
 from myrtlecourse.config import ConfigError
 from myrtlecourse.election import messages as said
-from myrtlecourse.fleet.switch import Switch, free
+from myrtlecourse.fleet.reserved_ports import free
+from myrtlecourse.fleet.switch import Switch
 from myrtlecourse.operators import read_operators
 from myrtlecourse.peers.seal import LONGEST, WINDOW, Dropped
 from myrtlecourse.peers.wire import Sign, Wire
@@ -387,9 +387,9 @@
 @asynccontextmanager
 async def places(folder: Path, duty: bool = False) -> AsyncIterator[Places]:
     async with site(folder) as here:
-        switch = Switch({name: free(socket.SOCK_STREAM) for name in THREE})
+        switch = Switch({name: free() for name in THREE})
         await switch.start()
-        await switch.relays.join({name: free(socket.SOCK_DGRAM) for name in THREE})
+        await switch.relays.join({name: free() for name in THREE})
         made = Places(folder, here, switch, duty)
         try:
             await asyncio.gather(*(made.start(name) for name in THREE))
--- a/tests/test_spread_operators.py
+++ b/tests/test_spread_operators.py
@@ -5,7 +5,6 @@
 import asyncio
 import json
 import os
-import socket
 import sys
 import time
 from collections.abc import Iterator
@@ -26,7 +25,7 @@
 
 from myrtlecourse.cli import main
 from myrtlecourse.config import ConfigError
-from myrtlecourse.fleet.switch import free
+from myrtlecourse.fleet.reserved_ports import free
 from myrtlecourse.operators import read_operators
 from myrtlecourse.ops.calls import KEY, MAX_VALUE, Answer, Call, Exchange, Kind, read_call
 from myrtlecourse.spread import messages as said
@@ -380,7 +379,7 @@
 
     def __init__(self, folder: Path) -> None:
         self.folder = folder
-        self.peers = {n: free(socket.SOCK_DGRAM) for n in (*CONTROL, "a", "b", "p")}
+        self.peers = {n: free() for n in (*CONTROL, "a", "b", "p")}
         self.each: dict[str, Keeper] = {}
 
     def make(self, name: str) -> Keeper:
