Refuse a change of voters by which the holder would lose its lease on the spot

What was seen: the listed test test_voters_go_by_a_reload_one_at_a_time failed beside load: the holder had given the address up. Load was suspected; it is not the cause. Evidence: beside six busy loops, four side by side, the reload alone was played 12 times: three holders said 'voters for the service address: a, b' and 'holds the address no more: the lease is over' in the same millisecond, 8 to 50 ms after they had come to hold it. The lease rested on the words of a and c; b, started less than a lease before, may give none yet. Taking c out counted the lease anew, by a and b: over. Change: the holder refuses, with a reason and the old settings in force, to let a voter go while too few of those that are left have given their word; duties check all their elections before one is changed. Weighed and not taken: to let the lease run out under the old majority; a second change within it might elect another beside it. A refused change is now refused before the event is begun: refused in its midst, a withdrawal that was due at that moment was decided and never carried out, and the instance would have been leaving for ever. Both new tests failed before. The listed test asked for the change at such a moment; it waits now until both others have given their word, as the tests of moves do, and asserts all that it did.

--- a/myrtlecourse/duties/core.py
+++ b/myrtlecourse/duties/core.py
@@ -278,6 +278,11 @@
                 raise said.DutiesError(
                     f"{what}: one may come or go at a time; wait until all have the change"
                 )
+        for name, each in self.elections.items():
+            try:
+                each.check_change(self.now, settings.election(self.duties[name]))
+            except election.ElectionError as e:
+                raise said.DutiesError(f"{name}: {e}") from e
 
     def _on_move(self, name: str, to: str) -> None:
         if self.may(self.now, name) is None:
--- a/myrtlecourse/election/core.py
+++ b/myrtlecourse/election/core.py
@@ -108,7 +108,13 @@
         return self.role is Role.HOLDER and now < self.lease_until - self.settings.heartbeat / 2
 
     def handle(self, now: float, event: Event) -> list[Action]:
-        """Take one event and answer with actions, to be carried out in order."""
+        """Take one event and answer with actions, to be carried out in order.
+
+        Raises:
+            ElectionError: settings that may not be taken now; nothing is done.
+        """
+        if isinstance(event, Changed):
+            self.check_change(max(now, self.now), event.settings)
         self.now, self.out = max(now, self.now), []
         if self.role is Role.HOLDER and not self.holds(self.now):
             self._withdraw("the lease is over")
@@ -368,11 +374,15 @@
         self._count_lease()
 
     def _count_lease(self) -> None:
-        """The lease that a majority's words bear: from when the oldest of them was asked for."""
-        asked = sorted((self.renewed.get(v, -math.inf) for v in self._others()), reverse=True)
-        needed = self.settings.majority - self.settings.votes
+        self.lease_until = max(self.lease_until, self._lease_under(self.settings))
+
+    def _lease_under(self, settings: Settings) -> float:
+        """Until when a majority's words bear the lease: from when the oldest of them was asked for."""
+        others = [v for v in settings.voters if v != settings.name]
+        asked = sorted((self.renewed.get(v, -math.inf) for v in others), reverse=True)
+        needed = settings.majority - settings.votes
         oldest = asked[needed - 1] if needed else self.now
-        self.lease_until = max(self.lease_until, oldest + self.settings.safe_lease)
+        return oldest + settings.safe_lease
 
     # Becoming and ceasing to be the holder
 
@@ -471,14 +481,22 @@
             if self.role in (Role.TRYING, Role.STANDING):
                 self._fall_back()
 
-    def _on_changed(self, settings: Settings) -> None:
-        """Two majorities must share a voter: one may come or go at a time.
+    def check_change(self, now: float, settings: Settings) -> None:
+        """Whether new settings may be taken.
 
         Raises:
-            ElectionError: more than one has; the settings stay.
+            ElectionError: two majorities might share no voter; or this instance holds, and too few of the
+                voters that are left have given it their word yet, so that nobody would hold.
         """
         if len(set(settings.voters) ^ set(self.settings.voters)) > 1:
             raise ElectionError("voters: one may come or go at a time; wait until all have the change")
+        gone = set(self.settings.voters) - set(settings.voters)
+        if gone and self.holds(now) and self._lease_under(settings) - settings.heartbeat / 2 <= now:
+            raise ElectionError(
+                f"voters: without {min(gone)} the lease would be over; wait for the others' words"
+            )
+
+    def _on_changed(self, settings: Settings) -> None:
         self.settings = settings
         if self.role in (Role.TRYING, Role.STANDING):
             self._fall_back()
--- a/tests/test_address.py
+++ b/tests/test_address.py
@@ -538,6 +538,7 @@
     async def scenario() -> None:
         async with places(tmp_path) as there:
             first = await there.holder()
+            await there.settled(first)  # else the lease may rest on the word of the one that goes
             others = tuple(n for n in THREE if n != first)
             there.write(first, (first,))
             there.routers[first].process.send_signal(signal.SIGHUP)
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -381,6 +381,41 @@
     assert election.settings.majority == 3
 
 
+def holder_by(*words: str) -> Election:
+    """One that holds since 100.0, with the words of these alone."""
+    election = voter()
+    election.role, election.saved = Role.HOLDER, said.Saved(1, "a")
+    election.unwell_since = math.inf
+    election.now = 100.0
+    election.renewed = dict.fromkeys(words, 100.0)
+    election._count_lease()
+    election._beat()
+    return election
+
+
+def test_a_voter_whose_word_alone_bears_the_lease_does_not_go() -> None:
+    """The holder gave up on the spot, though the other voter was to give its word within a lease."""
+    election = holder_by("c")
+    less = said.Changed(settings(voters=("a", "b"), even_voters=True))
+    with pytest.raises(said.ElectionError, match="without c the lease would be over"):
+        election.handle(100.1, less)
+    assert election.settings.voters == THREE and election.holds(100.1)
+    number = next(iter(election.beats))
+    heard(election, "b", said.Renew(1, number), 100.2)
+    assert not any(isinstance(a, said.Withdraw) for a in election.handle(100.3, less))
+    assert election.holds(100.3)
+
+
+def test_a_change_that_is_refused_as_the_lease_ends_does_nothing() -> None:
+    """Its withdrawal was decided and lost with the refusal: the instance left for ever."""
+    election = holder_by("c")
+    with pytest.raises(said.ElectionError, match="one may come or go"):
+        election.handle(200.0, said.Changed(settings(voters=("a", "b", "d"))))
+    assert election.role is Role.HOLDER and not election.holds(200.0)
+    actions = election.handle(200.0, said.Woke())
+    assert any(isinstance(a, said.Withdraw) for a in actions)
+
+
 @pytest.mark.parametrize(
     ("changes", "field"),
     [
