Bound what a fleet of cold servers gets: a share of what comes, and the rest is refused

Cause: a cold server's points leave the rest of its keys to the next server; with the others as cold nothing was left out, and the fleet got all that came. Change: while servers are cold (policy/slow_start.py) the points that count are those of each against the warmest, so that with all equally cold no key moves; and a cold server takes what comes by its points with the chance that the fleet is warm as a whole, less where popular keys bring it more than its part, which each router counts by first servers, in a memory that outlives a server's start. A request that is turned away goes on to servers that are warm, to no cold one, and is refused (reason 'cold', to come back when the warm-up is over) if there is none. Three calls a window go to a cold server whatever is known of it, where routers are three or fewer: any bears them. Cost: with the fleet cold at a light load requests are refused that would have been served; a router can't know what a server takes that it has not seen warm. Tests: a start at time 0 of the tests' world counted as long ago, so that phase 0 played no cold server; it starts 1 ms later now, stricter. 'With all banned' sent 30 requests at once to one cold server; those that are sent go there, three at least, all 30 once it is warm.

--- a/myrtlecourse/interface.py
+++ b/myrtlecourse/interface.py
@@ -93,6 +93,7 @@
     CROWDED = "crowded"  # it would wait too long
     NO_REPEAT = "no-repeat"  # is permitted
     NO_PLACE = "no-place"  # at the origin in time
+    COLD = "cold"  # servers bear no more of it yet
     ZONE_LEFT = "zone-left"  # whose requests the others don't bear
     UNKNOWN = ""
 
--- a/myrtlecourse/policy/members.py
+++ b/myrtlecourse/policy/members.py
@@ -12,6 +12,7 @@
 from myrtlecourse.policy.leaving import Leaving
 from myrtlecourse.policy.ring import Ring
 from myrtlecourse.policy.sizes import Sizes
+from myrtlecourse.policy.slow_start import SlowStart
 from myrtlecourse.policy.state import Server
 
 
@@ -32,6 +33,7 @@
         self.failing: set[Server] = set()  # caches that have failed too often in a row
         self.ring = Ring()
         self.sizes = Sizes()
+        self.slow_start = SlowStart(now)
         self.kind_sizes: dict[str, float] = {}  # the largest weight seen of a kind, where weights are `live`
         self.unplaced: dict[Server, None] = {}  # whose points are counted otherwise by now
         self.weights: Mapping[str, float] = {}  # how gladly each zone's cache servers are asked
@@ -127,10 +129,19 @@
         if origin:
             # guards the origin after a mass restart: forty first guesses are many times what it bears
             server.limit = max(1.0, tuning.LIMIT_START * min(1.0, tuning.FEW / self.settings.siblings))
+        elif started > 0:
+            self.slow_start.began(started, self._cold_time())
         if former is not None:
             self.ring.succeed(former, server)
         return server
 
+    def _cold_time(self) -> float:
+        """Seconds after its start in which a cache server is cold.
+
+        Guards the window in which the warm-up ends: what comes in its first part is counted with the rest.
+        """
+        return self.settings.ramp + self.settings.fall_window
+
     def _drop(self, name: str) -> None:
         server = self._forget_server(name)
         if server is not None:
--- a/myrtlecourse/policy/router.py
+++ b/myrtlecourse/policy/router.py
@@ -123,6 +123,9 @@
     def _on_retuned(self, settings: api.Settings) -> None:
         """What is learned of servers stays, unless what they are is now another thing."""
         self.settings = settings
+        for server in self.caches.values():
+            if server.started > 0:
+                self.slow_start.began(server.started, self._cold_time())
         self.shortest_aim = min(c.aim for c in settings.classes.values())
         if self.door is not None:
             self.door.retuned(settings)
@@ -195,7 +198,7 @@
         elif not to_ring:
             self._enqueue(held)
         elif server is None:
-            self._end(held, api.Reason.NO_SERVER)
+            self._end(held, api.Reason.COLD if self.slow_start.turned_away else api.Reason.NO_SERVER)
         elif self._too_late(held, server):
             self._end(held, api.Reason.CROWDED)
         elif not self._may_move(held):
@@ -211,6 +214,8 @@
         held.attempts.append(attempt)
         server.load += 1
         server.evidence.sent(self.now)
+        if server.cache and self.now < self.slow_start.cold_until and self._warmth(server) < 1:
+            self.slow_start.sent(self.now, server)
         keyed = held.request_class.effect is api.Effect.KEYED
         within = self._repeat_until(held) if keyed else None
         self.out.append(api.Send(name, server.entry.server, within=within, reason=reason))
@@ -314,6 +319,8 @@
         wait = origin.evidence.usual * (1 + len(self.line.queue) / origin.limit) if origin else self.wait
         if self.leaving is not None:
             wait = max(wait, tuning.LEFT_PAUSE)
+        if reason is api.Reason.COLD:
+            wait = max(wait, self.slow_start.cold_until - self.now)
         come_back = min(self.settings.max_retry_after, wait)
         refused = self._permits(held, None)
         self.out.append(api.Refuse(name, come_back, reason) if refused else api.Fail(name, reason))
--- a/myrtlecourse/policy/walk.py
+++ b/myrtlecourse/policy/walk.py
@@ -34,17 +34,26 @@
         passed: set[Server] = set()
         crowded = 0
         first = None
+        counted = bool(held.attempts)
+        cold = self._any_cold()
         # past a zone that is left it may be far to the next one
         most = tuning.WALK if self.leaving is None else tuning.LEFT_WALK
         for server, rank in self.ring.around(key, most):
+            if not counted:
+                counted = True
+                self.slow_start.comes(self.now, server.entry.server, self.settings.ramp, self.caches)
             warm = self._warm_share(server)
             # guards against pushing over a cold server: all leave out the same points, and none spills to it
             # a key whose own server has not taken it back yet goes to no other that comes back: else it would
             # move twice
             held.moved = held.moved or (rank > server.share and not passed)
-            if rank > warm or server in passed or (warm < 1 and (passed or held.moved)):
+            counts = min(server.share, warm / self.slow_start.warmest) if cold else warm
+            if rank > counts or server in passed or (warm < 1 and (passed or held.moved)):
                 continue
             passed.add(server)
+            if cold and not self._bears(server):
+                self.slow_start.turned_away = True
+                continue
             if self._eligible(held, server):
                 first = first or server
                 flow -= (1 + tuning.EPSILON) * warm * server.size / self.sizes.total
@@ -120,17 +129,41 @@
         """Whether a server owes us an answer and has given none, to anything, for too long."""
         return self.now - server.evidence.quiet_since > tuning.SILENCE * self.shortest_aim
 
-    def _warm_share(self, server: Server) -> float:
-        """Share of its points that count: the stated warm-up, cut by our own share of good answers."""
+    def _any_cold(self) -> bool:
+        """Whether any server is cold; then what all bear is measured now and again."""
+        slow_start, ramp = self.slow_start, self.settings.ramp
+        slow_start.turned_away = False
+        if self.now >= slow_start.cold_until:
+            return False
+        if self.now >= slow_start.measure_at:
+            there = [s for s in self.caches.values() if not s.left]
+            slow_start.measure(self.now, ramp, [(self._warmth(s), s.size) for s in there])
+        return True
+
+    def _warmth(self, server: Server) -> float:
+        """How much of its normal traffic a server bears: the stated warm-up, cut by our own share of good
+        answers."""
         age = self.now - server.started
-        # guards the window in which the warm-up ends: what comes in its first part is counted with the rest
-        if server.started <= 0 or age >= self.settings.ramp + self.settings.fall_window:
-            return server.share
+        if server.started <= 0 or age >= self._cold_time():
+            return 1.0
         # guards against client retries, which multiply what is sent just when servers bear the least; and
         # against an overload, where settings let a cold server bear little more than it can do
         room = self.good * min(1.0, self.settings.fall_multiple / tuning.FALL_ROOM)
-        warm = room * (1 - (1 - self.settings.cold_share) * max(0.0, 1 - age / self.settings.ramp))
-        return min(server.share, warm)
+        return room * (1 - (1 - self.settings.cold_share) * max(0.0, 1 - age / self.settings.ramp))
+
+    def _warm_share(self, server: Server) -> float:
+        """Share of its points that count: as it is warm, and as its zone has come back."""
+        return min(server.share, self._warmth(server))
+
+    def _bears(self, server: Server) -> bool:
+        """Whether a server, if it is cold, bears one more request that its points give it."""
+        if self._warmth(server) >= 1:
+            return True
+        slow_start, settings = self.slow_start, self.settings
+        chance = slow_start.chance(server.entry.server, server.size / self.sizes.total, len(self.caches))
+        if self.random.random() < chance:
+            return True
+        return slow_start.free(self.now, server, settings.fall_window, settings.siblings)
 
     def _permits(self, held: Held, server: Server | None) -> bool:
         """What the class still permits: another send to this server or, with None, a refusal."""
--- a/tests/test_daily_rules.py
+++ b/tests/test_daily_rules.py
@@ -12,7 +12,7 @@
 
 from myrtlecourse import interface as api
 from myrtlecourse.overload.core import CoreControl
-from myrtlecourse.policy import Router
+from myrtlecourse.policy import Router, tuning
 from tests.driver import KEYED, ONCE, READ, Driver, entry, settings
 from tests.loopback import needs_sources
 from tests.test_rules import ASIDE, CHECKS, Random, fleet, groups
@@ -68,6 +68,11 @@
     assert d.sends["r"] == ["o"]
     d.ok("r")
     d.online("a")
+    # it is cold, and no other takes what it does not bear yet
+    first = [d.request(f"f{n}", key=f"k{n}") for n in range(30)]
+    assert set(first) == {"a", None} and first.count("a") >= tuning.FREE_CALLS
+    assert all(d.ended[f"f{n}"] == "refused" for n, server in enumerate(first) if server is None)
+    d.wait(d.conf.ramp + d.conf.fall_window)
     assert set(spread(d, 30)) == {"a"}
 
 
--- a/tests/test_slow_start.py
+++ b/tests/test_slow_start.py
@@ -20,11 +20,15 @@
 
 from myrtlecourse import interface as api
 from myrtlecourse.policy import Router
+from myrtlecourse.policy.slow_start import SlowStart
+from myrtlecourse.policy.state import Server
+from tests.driver import Driver, entry, settings
 
 CAPACITY = 25.0  # requests a second of a warm server
 SERVERS = 10
 SMALL = 30  # calls; a smaller budget leaves more to chance
 WORK = 0.1  # seconds that an answer takes on average
+SOONEST = 0.001  # seconds; a start at 0 counts as long ago
 READ = api.RequestClass("read", 1.2)
 
 
@@ -50,6 +54,7 @@
 
     def __init__(self, world: World) -> None:
         self.world = world
+        self.start = max(world.phase, SOONEST)
         self.random = random.Random(world.seed)
         self.settings = api.Settings(
             classes={"read": READ},
@@ -84,7 +89,7 @@
                 case api.Send(request=request, server=server):
                     number = self.counts[router].get(request, 0)
                     self.counts[router][request] = number + 1
-                    cold = server in self.sent and now >= self.world.phase
+                    cold = server in self.sent and now >= self.start
                     if cold:
                         self.sent[server].append(now)
                     full = cold and self.random.random() < self.world.full
@@ -102,9 +107,9 @@
         rates = [world.load * SERVERS * CAPACITY * share / sum(shares) for share in shares]
         for n, rate in enumerate(rates):
             self.later(self.random.expovariate(rate), "comes", n)
-        self.later(world.phase, "starts")
-        self.later(world.phase + 1.0, "anew")
-        end = world.phase + self.settings.ramp + 1.0
+        self.later(self.start, "starts")
+        self.later(self.start + 1.0, "anew")
+        end = self.start + self.settings.ramp + 1.0
         while self.events and self.events[0][0] < end:
             now, _, (what, *told) = heapq.heappop(self.events)
             if what == "starts":
@@ -142,7 +147,7 @@
         for first, at in enumerate(sent):
             while last < len(sent) and sent[last] < at + conf.fall_window:
                 last += 1
-            warm = min(1.0, conf.cold_share + (1 - conf.cold_share) * (at - self.world.phase) / conf.ramp)
+            warm = min(1.0, conf.cold_share + (1 - conf.cold_share) * (at - self.start) / conf.ramp)
             budget = conf.fall_multiple * CAPACITY * warm * conf.fall_window
             found = max(found, (last - first) / bound(budget))
         return found
@@ -185,6 +190,66 @@
     assert play.worst(strict) <= 1.0
 
 
+@given(WORLDS, st.integers(2, SERVERS))
+@example(World(200, 1.5, 1.5, 1.0, 0.0, 0.7, 0.0, 0.0, 2.0, 1), SERVERS)
+@example(World(30, 4.0, 1.5, 1.0, 0.0, 0.7, 0.0, 0.0, 2.0, 4), SERVERS)
+@example(World(30, 2.0, 1.5, 1.0, 0.3, 0.7, 0.0, 1.0, 0.0, 1), SERVERS)
+@runs(max_examples=8)
+def test_the_rule_of_slow_start_holds_however_many_are_cold(world: World, cold: int) -> None:
+    """What cold servers' points leave out came to the others, which were no warmer."""
+    play = Play(replace(world, cold=cold))
+    play.run()
+    assert play.worst(rule) <= 1.0
+
+
+def test_with_all_cold_a_request_may_be_refused_until_they_are_warm() -> None:
+    d = Driver(
+        settings(
+            cold_share=0.25, ramp=8.0, fall_window=1.0, fall_multiple=4.0, siblings=30, max_retry_after=2.0
+        )
+    )
+    d.list(*(entry(name, since=d.now) for name in "abcd"))
+    served = 0
+    for n in range(400):
+        if d.request(f"r{n}", key=f"k{n}") is not None:
+            d.ok(f"r{n}")
+            served += 1
+    assert 0.15 < served / 400 < 0.3
+    events = (api.Request(f"more{n}", "read", 2.5, "k") for n in range(50))
+    actions = [action for event in events for action in d.router.handle(d.now, event)]
+    refused = next(action for action in actions if isinstance(action, api.Refuse))
+    assert refused.reason is api.Reason.COLD
+    assert refused.come_back == 2.0  # as long as clients honour: it is over after 9
+    d.wait(9.0)
+    assert None not in [d.request(f"s{n}", key=f"k{n}", finish=True) for n in range(400)]
+
+
+def test_a_lone_router_sends_a_few_calls_whatever_a_cold_server_can_do() -> None:
+    slow_start, server = SlowStart(0.0), Server(entry("a"))
+    for at in (0.0, 0.1, 0.2):
+        assert slow_start.free(at, server, 1.0, siblings=1)
+        slow_start.sent(at, server)
+    assert not slow_start.free(0.9, server, 1.0, siblings=1)
+    assert slow_start.free(1.0, server, 1.0, siblings=1)
+    assert not slow_start.free(0.3, server, 1.0, siblings=2)
+    assert slow_start.free(1.25, server, 1.0, siblings=3)
+    assert not slow_start.free(9.0, server, 1.0, siblings=4)  # others may have sent theirs
+
+
+def test_a_server_of_popular_keys_takes_a_smaller_part_of_what_comes() -> None:
+    slow_start = SlowStart(0.0)
+    slow_start.measure(0.0, 8.0, [(0.3, 1.0), (0.3, 1.0)])
+    assert slow_start.chance("a", 0.5, 2) == pytest.approx(0.3)
+    for _ in range(1000):
+        for server in "aaab":
+            slow_start.comes(0.0, server, 8.0, "ab")
+    popular, other = (slow_start.chance(server, 0.5, 2) for server in "ab")
+    assert popular * 0.75 == pytest.approx(other * 0.5, rel=0.01)
+    for n in range(20):  # what is counted halves every ramp, and goes with its server
+        slow_start.comes(10.0 * (n + 1), "b", 8.0, "b")
+    assert set(slow_start.first) == {"b"} and slow_start.total == slow_start.first["b"] < 30
+
+
 def test_a_cold_server_is_not_left_out_either() -> None:
     """A budget that no router may use would be kept, too."""
     play = Play(World(30, 4.0, 0.6, 1.0, 0.0, 0.0, 0.0, 0.0, 2.0, 1))
