Keep an offer of a duty where the vote for it was won too late for its lease

What callers would see: a duty that was moved goes elsewhere, where the named instance stood still for about a lease between its question and the last yes (with a lease of three heartbeats an offer outlasts one). Cause: winning ended the offer before it was looked at whether the lease still holds. By the code and a test that failed before; not seen in a trace. Change: what winning ends is ended once it is won. The state of an offer is a value of its own (election/offer.py), so that core.py holds what an election decides by it alone.

--- a/myrtlecourse/election/core.py
+++ b/myrtlecourse/election/core.py
@@ -45,6 +45,7 @@
     Withdrawn,
     Woke,
 )
+from myrtlecourse.election.offer import Offer
 
 JOIN = 0.6  # of a heartbeat: with less left until the next one it is brought forward
 
@@ -91,8 +92,7 @@
         self.well_since = math.inf
         self.unwell_since = now
         self.successor = ""
-        self.offered_until = -math.inf  # a holder has given up for this one, which is to stand until then
-        self.offer_at = -math.inf  # when it may stand for that again
+        self.offer = Offer()
         self.rests_until = -math.inf
         self.invitations = Invitations()
 
@@ -161,7 +161,7 @@
             and self.now >= self.ballot.asked_at + settings.heartbeat
         ):
             self._fall_back()  # no majority answered in time: a later answer is of another question
-        if self.role is Role.BACKUP and self.now < self.offered_until:
+        if self.role is Role.BACKUP and self.offer.stands(self.now):
             self._stand_as_offered()
         elif self.role is Role.BACKUP and settings.votes:
             self._invite()
@@ -196,10 +196,8 @@
             return self.ballot.asked_at + self.settings.heartbeat
         if self.role is Role.LEAVING:
             return math.inf
-        if self.now < self.offered_until:
-            return max(
-                self.now, min(self.offered_until, max(self.offer_at, self.word_until, self._ready_at()))
-            )
+        if self.offer.stands(self.now):
+            return self.offer.next_at(self.now, max(self.word_until, self._ready_at()))
         if not self.settings.votes:
             return math.inf
         invites = math.inf
@@ -294,14 +292,14 @@
         if self.word == (sender, take.term):
             self.word_until = -math.inf
         self._learn(take.term)
-        self.offered_until, self.offer_at = self.now + self.settings.handover, self.now
+        self.offer.made(self.now, self.settings.handover)
         if self.role is Role.TRYING:
             self._fall_back()
 
     def _stand_as_offered(self) -> None:
         """Guards a move whose messages cross: a voter that is asked before it hears the release denies."""
-        if self.now >= self.offer_at and self._may_stand() and not self._bound_to(""):
-            self.offer_at = self.now + self.settings.heartbeat / 2
+        if self.now >= self.offer.stand_at and self._may_stand() and not self._bound_to(""):
+            self.offer.tried(self.now, self.settings.heartbeat / 2)
             self._stand()
 
     def _on_ask(self, sender: str, ask: Ask) -> None:
@@ -366,7 +364,7 @@
             return
         self._learn(beat.term)
         self.held_term = beat.term
-        self.offered_until = -math.inf  # somebody holds
+        self.offer.over()
         if self.role is not Role.BACKUP:
             self._fall_back()
         self._give_word(sender, beat.term)
@@ -411,9 +409,6 @@
 
     def _win(self) -> None:
         self.role = Role.HOLDER
-        self.offered_until = -math.inf
-        self.held_term = self.term
-        self.invitations.end()
         self.renewed = dict.fromkeys(self.ballot.granted, self.ballot.asked_at)
         self.lease_until = -math.inf
         self.beats.clear()
@@ -421,6 +416,9 @@
         if not self.holds(self.now):
             self._fall_back()  # the last yes came too late to be worth anything
             return
+        self.held_term = self.term
+        self.offer.over()
+        self.invitations.end()
         self.out.append(Announce(self.term))
         self._beat()
 
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -611,6 +611,20 @@
     assert len([a for a in candidate.handle(at, said.Woke()) if isinstance(a, said.Tell)]) == len(THREE)
 
 
+def test_an_offer_is_not_spent_by_a_vote_that_is_won_too_late() -> None:
+    """The instance stood still between its question and the last yes; it was offered the duty once."""
+    told = settings("a", lease=1.5, settle=0.2)
+    candidate = Election(told, said.Saved(4, ""), 0.0, 1)
+    candidate.handle(0.0, said.Able(True))
+    now = told.lease + told.settle
+    (ask,) = asked(candidate.handle(now, said.Heard("b", said.Take(4))))
+    late = now + told.lease
+    assert late < now + told.handover
+    acts = candidate.handle(late, said.Heard("b", said.Grant(ask.term, ask.number, ask.trial)))
+    assert not any(isinstance(a, said.Announce) for a in acts)
+    assert [again.term for again in asked(acts)] == [ask.term + 1]
+
+
 def test_whoever_has_handed_over_is_not_the_first_to_take_it_back() -> None:
     """Voters invited it at once, as the most preferred, while the one named still asked."""
     told = settings("x", preferred=("x", "y"), settle=0.0)
