Give the words that bear a lease a module of their own

The tests that looked into these fields look there. New, with it: a case for duties, that a change of voters is refused before anything is done where the holder's lease would not outlast it.

--- a/myrtlecourse/election/core.py
+++ b/myrtlecourse/election/core.py
@@ -17,6 +17,7 @@
 from myrtlecourse.election.ballot import Ballot
 from myrtlecourse.election.count import Count
 from myrtlecourse.election.invitations import Invitations
+from myrtlecourse.election.lease import Lease
 from myrtlecourse.election.messages import (
     Able,
     Action,
@@ -85,9 +86,7 @@
         self.stand_at = math.inf
         self.count = count or Count(self.random)
         self.ballot = Ballot()
-        self.beats: dict[int, float] = {}  # when each question of this term was asked
-        self.renewed: dict[str, float] = {}  # when the last question was asked that each voter has answered
-        self.lease_until = -math.inf
+        self.lease = Lease()
         self.beat_at = math.inf
         self.well_since = math.inf
         self.unwell_since = now
@@ -100,6 +99,11 @@
     def term(self) -> int:
         return self.saved.term
 
+    @property
+    def lease_until(self) -> float:
+        """When the lease of a holder is over; endlessly long ago where there is none."""
+        return self.lease.until
+
     def holds(self, now: float) -> bool:
         """Whether the address is this instance's at this very moment, by its own clock.
 
@@ -371,22 +375,10 @@
         self.out.append(Tell(sender, Renew(beat.term, beat.number)))
 
     def _on_renew(self, sender: str, renew: Renew) -> None:
-        asked = self.beats.get(renew.number)
-        if self.role is not Role.HOLDER or renew.term != self.term or asked is None:
+        if self.role is not Role.HOLDER or renew.term != self.term:
             return
-        self.renewed[sender] = max(asked, self.renewed.get(sender, -math.inf))
-        self._count_lease()
-
-    def _count_lease(self) -> None:
-        self.lease_until = max(self.lease_until, self._lease_under(self.settings))
-
-    def _lease_under(self, settings: Settings) -> float:
-        """Until when a majority's words bear the lease: from when the oldest of them was asked for."""
-        others = [v for v in settings.voters if v != settings.name]
-        asked = sorted((self.renewed.get(v, -math.inf) for v in others), reverse=True)
-        needed = settings.majority - settings.votes
-        oldest = asked[needed - 1] if needed else self.now
-        return oldest + settings.safe_lease
+        if self.lease.renew(sender, renew.number):
+            self.lease.count(self.settings, self.now)
 
     # Becoming and ceasing to be the holder
 
@@ -409,10 +401,8 @@
 
     def _win(self) -> None:
         self.role = Role.HOLDER
-        self.renewed = dict.fromkeys(self.ballot.granted, self.ballot.asked_at)
-        self.lease_until = -math.inf
-        self.beats.clear()
-        self._count_lease()
+        self.lease.won(self.ballot.granted, self.ballot.asked_at)
+        self.lease.count(self.settings, self.now)
         if not self.holds(self.now):
             self._fall_back()  # the last yes came too late to be worth anything
             return
@@ -425,13 +415,10 @@
     def _beat(self) -> None:
         """Ask all for another lease."""
         number = self.count.at(self.now)
-        self.beats[number] = self.now
-        # what is older than a lease renews nothing any more
-        for old in [n for n, at in self.beats.items() if at < self.now - self.settings.lease]:
-            del self.beats[old]
+        self.lease.ask(number, self.now, self.settings.lease)
         self.beat_at = self.now + self.settings.heartbeat
         self._tell_all(Beat(self.term, number))
-        self._count_lease()
+        self.lease.count(self.settings, self.now)
 
     def join(self, now: float) -> list[Action]:
         """Ask for another lease a little early, as another duty of this process asks just now: one heartbeat
@@ -450,7 +437,7 @@
         """Give the address up; the others hear of it once nothing is accepted any more."""
         self.out.append(Withdraw(why))
         self.role = Role.LEAVING
-        self.lease_until = -math.inf
+        self.lease.over()
 
     def _on_resign(self, why: str, rest: float) -> None:
         """Guards what a holder does badly: it would be the first to stand again."""
@@ -496,7 +483,7 @@
         if len(set(settings.voters) ^ set(self.settings.voters)) > 1:
             raise ElectionError("voters: one may come or go at a time; wait until all have the change")
         gone = set(self.settings.voters) - set(settings.voters)
-        if gone and self.holds(now) and self._lease_under(settings) - settings.heartbeat / 2 <= now:
+        if gone and self.holds(now) and self.lease.borne_until(settings, now) - settings.heartbeat / 2 <= now:
             raise ElectionError(
                 f"voters: without {min(gone)} the lease would be over; wait for the others' words"
             )
@@ -506,5 +493,5 @@
         if self.role in (Role.TRYING, Role.STANDING):
             self._fall_back()
         if self.role is Role.HOLDER:
-            self.lease_until = -math.inf
-            self._count_lease()
+            self.lease.over()
+            self.lease.count(self.settings, self.now)
--- a/tests/test_duties.py
+++ b/tests/test_duties.py
@@ -208,6 +208,10 @@
         with pytest.raises(DutiesError, match=message):
             holder.handle(now, event)
     assert holder.may(now, "y") is not None
+    holder.elections["y"].lease.renewed.pop("b")
+    with pytest.raises(DutiesError, match="y: voters: without c the lease would be over"):
+        holder.handle(now, said.Changed(Settings("d", NAMES, ("a", "b"), EACH)))
+    assert holder.may(now, "y") is not None and holder.settings.voters == VOTERS
 
 
 @pytest.mark.parametrize(
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -64,8 +64,8 @@
     """Broken on purpose: counts the lease from when it was answered."""
 
     def _on_renew(self, sender: str, renew: said.Renew) -> None:
-        if renew.number in self.beats:
-            self.beats[renew.number] = self.now
+        if renew.number in self.lease.asked:
+            self.lease.asked[renew.number] = self.now
         super()._on_renew(sender, renew)
 
 
@@ -387,8 +387,8 @@
     election.role, election.saved = Role.HOLDER, said.Saved(1, "a")
     election.unwell_since = math.inf
     election.now = 100.0
-    election.renewed = dict.fromkeys(words, 100.0)
-    election._count_lease()
+    election.lease.won(words, 100.0)
+    election.lease.count(election.settings, 100.0)
     election._beat()
     return election
 
@@ -400,7 +400,7 @@
     with pytest.raises(said.ElectionError, match="without c the lease would be over"):
         election.handle(100.1, less)
     assert election.settings.voters == THREE and election.holds(100.1)
-    number = next(iter(election.beats))
+    number = next(iter(election.lease.asked))
     heard(election, "b", said.Renew(1, number), 100.2)
     assert not any(isinstance(a, said.Withdraw) for a in election.handle(100.3, less))
     assert election.holds(100.3)
@@ -516,7 +516,7 @@
     for _ in range(int(3600 * hours / told.heartbeat)):
         now += told.heartbeat
         voter.handle(now, said.Woke())
-        voter.handle(now, said.Heard("b", said.Renew(voter.term, max(voter.beats))))
+        voter.handle(now, said.Heard("b", said.Renew(voter.term, max(voter.lease.asked))))
     assert voter.holds(now)
     return voter, now
 
--- a/tests/wrong_duties.py
+++ b/tests/wrong_duties.py
@@ -120,8 +120,8 @@
     on_renew = Election._on_renew
 
     def late(self: Election, sender: str, renew: election.Renew) -> None:
-        if renew.number in self.beats:
-            self.beats[renew.number] = self.now
+        if renew.number in self.lease.asked:
+            self.lease.asked[renew.number] = self.now
         on_renew(self, sender, renew)
 
     patch(Election, "_on_renew", late)
