--- a/myrtlecourse/policy/slow_start.py
+++ b/myrtlecourse/policy/slow_start.py
@@ -58,15 +58,14 @@
 
         `fair` is its share of the size of all; popular keys bring more than that to some. `multiple` is how
         many times what it can do it bears, where its points count in full. What is refused comes again in
-        part, so that the chance falls faster than what the fleet bears.
+        part, so that the chance falls faster than what the fleet bears. 1 at most.
         """
         prior = tuning.PRIOR * servers
         comes = (self.first.get(server, 0) + prior * fair) / (self.total + prior)
+        most = tuning.MOST_LOAD * (max(tuning.UNEVEN, comes / fair) + tuning.CHANCE)
         bears = multiple * self.warm
-        room = tuning.MOST_LOAD - tuning.COME_AGAIN * bears
-        if room <= 0:
-            return 1.0
-        return (1 - tuning.COME_AGAIN) * bears / room * min(1.0, fair / comes)
+        once = (1 - tuning.COME_AGAIN) * bears
+        return once / max(most - tuning.COME_AGAIN * bears, once)
 
     def free(self, now: float, server: Server, window: float, siblings: int) -> bool:
         """Whether a cold server bears one more call whatever it can do."""
