--- a/myrtlecourse/policy/slow_start.py
+++ b/myrtlecourse/policy/slow_start.py
@@ -1,7 +1,7 @@
 """What a fleet bears while servers of it start cold, as shares of what it bears when all are warm.
 
 As long as others are warm they take what a cold server leaves. With all of them cold nobody does: then each
-takes the share that it is warm of what comes for it, and the rest is refused.
+takes a part of what comes for it, by how warm the fleet is, and the rest is refused.
 """
 
 from __future__ import annotations
