Log which connection carries a request, its idle time, and unsolicited bytes

The routers' logs could not tell which connection had carried a request, how long that had been idle since its last answer, or what came on it after that. With MYRTLECOURSE_LOG=requests each request written has a line with the connection's number, use and idle time, and the close of a server's connection has the same. Bytes that are found just before a write are told apart from a close of the server (POLLRDHUP); both were logged as the server's close. Off, it costs one check of a flag.

Test: test_bytes_on_an_idle_connection_tell_how_long_after_its_last_answer. test_a_miss_is_followed_from_its_arrival_to_its_answer expects the two new lines as well.

--- a/myrtlecourse/net/connection.py
+++ b/myrtlecourse/net/connection.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import logging
 import math
 import select
+import time
 from abc import abstractmethod
 from collections.abc import Callable
 from typing import TYPE_CHECKING, Protocol, cast
@@ -27,8 +29,10 @@
 STREAM_STALL_TIMEOUT = 3.0
 READ_SIZE = 64 * 1024  # bytes read at once, which are kept while a client does not read its long answer
 MIN_STREAM_START = 16 * 1024  # bytes of a long answer that must have arrived before any is forwarded
+PEER_CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 log = logging.getLogger(__name__)
 rate_limited_log = RateLimitedLog(log)
+connection_numbers = itertools.count(1)  # tell the connections of this process apart in the request log
 
 Answer = tuple[Status, bytes]
 
@@ -136,13 +140,15 @@
     def __init__(self, pool: Pool, address: str) -> None:
         self.pool = pool
         self.address = address
+        self.number = next(connection_numbers)
+        self.requests_written = 0
         self.exchange: Exchange | None = None
         self.written = False  # whether the last byte of the request has been written
         self.server_process: object = None  # the process connected to; another one may take over the address
         self.first_exchange: Exchange | None = None  # the one for which the connection was dialled
         self.connected = False
         self.answer_timer: asyncio.TimerHandle | None = None  # limits the time of an answer that has begun
-        self.idle_since = 0.0
+        self.idle_since = time.monotonic()  # when it was made, or its last answer was complete
         # length of the long value that is being received, or 0; `decode` sets it and appends to `chunks`
         self.stream_length = 0
         self.chunks: list[bytes] = []
@@ -181,7 +187,9 @@
         self.pool.connections.add(self)
         self.pool.dial_ended(self.address)
         self.input_poll = select.poll()
-        self.input_poll.register(self.transport.get_extra_info("socket").fileno(), select.POLLIN)
+        self.input_poll.register(
+            self.transport.get_extra_info("socket").fileno(), select.POLLIN | select.POLLRDHUP
+        )
         # The exchange starts here, and not after the dial returns: a dial cancelled in between would leave a
         # connection without an owner, and enough of those would exhaust the budget.
         exchange, self.first_exchange = self.first_exchange, None
@@ -204,9 +212,16 @@
             self.drop(CloseReason.INTERNAL_ERROR)
             exchange.finish(Status.CONNECT_FAILED)
             return True
-        if self.transport.is_closing() or self.input_poll.poll(0):
+        if self.transport.is_closing():
             self.drop(CloseReason.PEER_CLOSED)
             return False
+        if pending := self.input_poll.poll(0):
+            closed = pending[0][1] & PEER_CLOSED_EVENTS
+            self.drop(CloseReason.PEER_CLOSED if closed else CloseReason.UNEXPECTED_BYTES)
+            return False
+        self.requests_written += 1
+        if requests_log.enabled:
+            self._log_written(exchange.command)
         exchange.connection = self
         self.exchange = exchange
         self.written = False
@@ -218,6 +233,16 @@
             self._limit_write_time(exchange, exchange.receiver.send_time_left())
         return True
 
+    def _log_written(self, command: Command) -> None:
+        requests_log.event(
+            command.request_id.decode(),
+            "written",
+            at=self.address,
+            connection=self.number,
+            use=self.requests_written,
+            idle=time.monotonic() - self.idle_since,
+        )
+
     def _limit_write_time(self, exchange: Exchange, seconds: float) -> None:
         """Limit the time for writing a request: one that ends too late is no longer recognised as a
         repeat."""
@@ -364,11 +389,23 @@
         self.pool.remove(self)
         exchange, self.exchange = self.exchange, None
         if exchange is not None:
-            requests_log.connection_closed("server", self.address, CloseReason.PEER_CLOSED, 1)
+            self._log_closed(CloseReason.PEER_CLOSED, 1)
             exchange.finish(Status.RESET if self.written else Status.CONNECT_FAILED)
 
     def drop(self, reason: CloseReason) -> None:
         """Close the connection at once, without sending buffered bytes."""
-        requests_log.connection_closed("server", self.address, reason, int(self.exchange is not None))
+        self._log_closed(reason, int(self.exchange is not None))
         self.pool.remove(self)
         self.transport.abort()
+
+    def _log_closed(self, reason: CloseReason, open_answers: int) -> None:
+        if requests_log.enabled:
+            requests_log.connection_closed(
+                "server",
+                self.address,
+                reason,
+                open_answers,
+                connection=self.number,
+                use=self.requests_written,
+                idle=time.monotonic() - self.idle_since,
+            )
--- a/myrtlecourse/net/pool.py
+++ b/myrtlecourse/net/pool.py
@@ -185,6 +185,7 @@
 
     def release(self, connection: Connection) -> None:
         """Use a free connection for a waiting exchange, or keep it until the server would close it."""
+        connection.idle_since = time.monotonic()
         if self.wait_queues and (waiting := self._next_waiting(connection.address)) is not None:
             process, exchange = waiting
             if connection.server_process == process and connection.start_exchange(exchange):
@@ -192,7 +193,6 @@
             self.wait_queues.setdefault(connection.address, deque()).appendleft(waiting)
             if connection.transport.is_closing():
                 return
-        connection.idle_since = time.monotonic()
         self.idle[connection] = None
         idle_here = self.idle_by_address.get(connection.address)
         if idle_here is None:
--- a/myrtlecourse/net/request_log.py
+++ b/myrtlecourse/net/request_log.py
@@ -47,11 +47,13 @@
         text = "".join(f" {name}={_format_value(value)}" for name, value in fields.items())
         log.info("id=%s event=%s%s", request_id, event, text)
 
-    def connection_closed(self, peer: str, address: object, reason: CloseReason, open_answers: int) -> None:
+    def connection_closed(
+        self, peer: str, address: object, reason: CloseReason, open_answers: int, **fields: object
+    ) -> None:
         """Log that a connection is closed while `open_answers` answers are still due on it."""
         if self.enabled:
-            log.info(
-                "id=- event=closed peer=%s at=%s why=%r owed=%d", peer, address, reason.value, open_answers
+            self.event(
+                "-", "closed", peer=peer, at=address, why=repr(reason.value), owed=open_answers, **fields
             )
 
 
--- a/tests/test_request_log.py
+++ b/tests/test_request_log.py
@@ -46,8 +46,10 @@
     assert events_of(lines, "r1") == [
         "taken",
         "sent first",
+        "written",
         "ended miss",
         "sent origin",
+        "written",
         "answered",
         "ended ok",
     ]
@@ -74,6 +76,28 @@
     assert any(CloseReason.ABANDONED.value in line and "peer=server" in line for line in closes)
 
 
+def test_bytes_on_an_idle_connection_tell_how_long_after_its_last_answer(
+    lines: pytest.LogCaptureFixture,
+) -> None:
+    """The log of the wrong answers did not tell which connection had carried what, and when."""
+
+    async def scenario() -> None:
+        async with Router() as router:
+            client, cache = await router.open_request()
+            cache.write(HIT)
+            await client.resp()
+            cache.write(HIT)
+            assert await cache.ended()
+
+    run(scenario)
+    written = [r.getMessage() for r in lines.records if "event=written" in r.getMessage()]
+    closes = [r.getMessage() for r in lines.records if "peer=server" in r.getMessage()]
+    number = re.search(r"connection=(\d+) use=1 idle=0\.\d+", written[0])
+    assert number is not None
+    reason = re.escape(repr(CloseReason.UNEXPECTED_BYTES.value))
+    assert re.search(rf"why={reason} owed=0 connection={number[1]} use=1 idle=0\.\d+", closes[0])
+
+
 def test_it_is_off_unless_it_is_turned_on(caplog: pytest.LogCaptureFixture) -> None:
     caplog.set_level(logging.INFO, "myrtlecourse.requests")
 
