Leave a connection unused for 50 ms after an answer, so that no second answer crosses a request

Cause: Pool.release and Pool._acquire_idle let a connection carry the next request in the instant in which its last answer was complete. Neither RESP nor HTTP/1.1 answers name their request, so a second copy of that answer, some milliseconds late, was taken for the answer to the next request. From then on the connection was one answer behind: the refusal of one request was read as that of the next, which was sent again.

Evidence: in the reports five answers come 2 to 3 ms after the request was written and before its server took it, and the wrong ones behind them fall on the ends of other requests of the same router.

Why this works: for 50 ms after an answer its connection carries nothing, so that a second one meets an idle connection, is recognised and ends it; what comes later extends the delay to twice that, up to 0.5 s, for a minute. An exchange that finds no connection waits if one is reusable within 10 ms (50 ms without a free descriptor) and dials otherwise, so the pool grows to what the delay needs and stays there. A failed dial no longer fails exchanges that wait for an open connection.

--- a/myrtlecourse/net/connection.py
+++ b/myrtlecourse/net/connection.py
@@ -216,8 +216,10 @@
             self.drop(CloseReason.PEER_CLOSED)
             return False
         if pending := self.input_poll.poll(0):
-            closed = pending[0][1] & PEER_CLOSED_EVENTS
-            self.drop(CloseReason.PEER_CLOSED if closed else CloseReason.UNEXPECTED_BYTES)
+            if pending[0][1] & PEER_CLOSED_EVENTS:
+                self.drop(CloseReason.PEER_CLOSED)
+            else:
+                self._drop_unexpected_bytes()
             return False
         self.requests_written += 1
         if requests_log.enabled:
@@ -329,8 +331,8 @@
 
     def data_received(self, data: bytes) -> None:
         exchange = self.exchange
-        if exchange is None:  # unexpected bytes, which could not be distinguished from the next answer
-            self.drop(CloseReason.UNEXPECTED_BYTES)
+        if exchange is None:
+            self._drop_unexpected_bytes()
             return
         try:
             answer = self.decode(data)
@@ -354,6 +356,13 @@
                 self.drop(CloseReason.UNUSABLE_ANSWER)
             exchange.finish(*answer)
 
+    def _drop_unexpected_bytes(self) -> None:
+        """Close an idle connection on which bytes arrived: they would be taken for the next answer."""
+        if self.requests_written:
+            now = time.monotonic()
+            self.pool.reuse_delay.observe_unexpected_bytes(now, now - self.idle_since)
+        self.drop(CloseReason.UNEXPECTED_BYTES)
+
     def _reject_answer(self, exchange: Exchange, error: Exception) -> None:
         """Finish the exchange with an error after a bad answer, and close the connection.
 
--- a/myrtlecourse/net/pool.py
+++ b/myrtlecourse/net/pool.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import errno
+import itertools
 import time
 from collections import deque
 from collections.abc import Callable
@@ -14,6 +15,7 @@
 from myrtlecourse.net.descriptors import DescriptorBudget
 from myrtlecourse.net.flow_control import StreamWindows
 from myrtlecourse.net.request_log import CloseReason
+from myrtlecourse.net.reuse_delay import MIN_REUSE_DELAY, ReuseDelay
 
 IDLE_MARGIN = 0.5  # an idle connection is closed so many seconds before its server may close it
 # errors of socket() and connect() that say nothing about the server: this machine lacks descriptors, ports or
@@ -22,6 +24,7 @@
     {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL, errno.EAGAIN}
 )
 MAX_DIALS_PER_ADDRESS = 16  # concurrent dials; handshakes are work for a server, above all one just started
+MAX_REUSE_WAIT = 0.01  # seconds that an exchange waits for a connection that may soon be reused
 MAX_STREAMED_ANSWER = 4 * 1024 * 1024  # bytes of a long answer, unless configured
 
 
@@ -55,6 +58,9 @@
         self.dial_counts: dict[str, int] = {}  # by address: the number of dials that have not connected yet
         # by address: the exchanges that wait for a connection, each with the server process it is for
         self.wait_queues: dict[str, deque[tuple[object, Exchange]]] = {}
+        # by address: starts the exchanges that wait once a connection may be reused
+        self.reuse_timers: dict[str, asyncio.TimerHandle] = {}
+        self.reuse_delay = ReuseDelay()
         self.idle: dict[Connection, None] = {}  # the longest idle first
         self.idle_by_address: dict[str, dict[Connection, None]] = {}  # the same connections, by address
         self.idle_timer: asyncio.TimerHandle | None = None  # closes connections that are idle for too long
@@ -84,16 +90,72 @@
         A long answer is streamed to `receiver`; without a receiver it is rejected.
         """
         exchange = Exchange(command, time_left, on_finished, receiver)
+        if self._start_on_idle(address, process, exchange):
+            return exchange
+        queued = len(self.wait_queues.get(address, ()))
+        if self._should_wait(address, queued):
+            self._enqueue(address, process, exchange)
+        else:
+            self._start_dial(address, process, exchange)
+        return exchange
+
+    def _start_on_idle(self, address: str, process: object, exchange: Exchange) -> bool:
+        """Start an exchange on an idle connection; return False if none may be used."""
         while (connection := self._acquire_idle(address, process)) is not None:
             if connection.start_exchange(exchange):
-                return exchange
+                return True
+        return False
+
+    def _should_wait(self, address: str, queued: int) -> bool:
+        """Return whether an exchange should wait, behind `queued` others, instead of dialling.
+
+        It waits if so many dials are in progress that another would be a burst of handshakes for the server,
+        or if an idle connection may be reused soon. Without a free descriptor it waits longer, as a dial
+        would close another connection.
+        """
         if self.dial_counts.get(address, 0) >= MAX_DIALS_PER_ADDRESS:
-            # The exchange waits, which spares the server a burst of handshakes: a dial or an answer soon
-            # provides a connection.
-            self.wait_queues.setdefault(address, deque()).append((process, exchange))
-        else:
+            return True
+        idle_here = self.idle_by_address.get(address, {})
+        connection = next(itertools.islice(idle_here, queued, None), None)
+        if connection is None:
+            return False
+        now = time.monotonic()
+        wait = self._reusable_at(connection, now) - now
+        if wait <= MAX_REUSE_WAIT:
+            return True
+        return wait <= MIN_REUSE_DELAY and not self.descriptors.may_open(self)
+
+    def _enqueue(self, address: str, process: object, exchange: Exchange) -> None:
+        self.wait_queues.setdefault(address, deque()).append((process, exchange))
+        self._arm_reuse_timer(address)
+
+    def _arm_reuse_timer(self, address: str) -> None:
+        """Set a timer for when the first idle connection may be reused, if exchanges wait for it."""
+        if address not in self.wait_queues or address in self.reuse_timers:
+            return
+        connection = next(iter(self.idle_by_address.get(address, ())), None)
+        if connection is not None:
+            now = time.monotonic()
+            delay = max(0.0, self._reusable_at(connection, now) - now)
+            self.reuse_timers[address] = asyncio.get_running_loop().call_later(
+                delay, self._on_reuse_timer, address
+            )
+
+    def _on_reuse_timer(self, address: str) -> None:
+        del self.reuse_timers[address]
+        self._serve_waiting(address)
+
+    def _serve_waiting(self, address: str) -> None:
+        """Start the exchanges that wait for an address, as far as connections or dials are to be had."""
+        while (waiting := self._next_waiting(address)) is not None:
+            process, exchange = waiting
+            if self._start_on_idle(address, process, exchange):
+                continue
+            if self._should_wait(address, 0):
+                self.wait_queues.setdefault(address, deque()).appendleft(waiting)
+                self._arm_reuse_timer(address)
+                return
             self._start_dial(address, process, exchange)
-        return exchange
 
     def _start_dial(self, address: str, process: object, exchange: Exchange) -> None:
         if not self._has_room():
@@ -107,15 +169,13 @@
         dial.add_done_callback(self.dials.discard)
 
     def dial_ended(self, address: str) -> None:
-        """Handle that a dial has succeeded or failed, and start the next one if an exchange waits."""
+        """Handle that a dial has succeeded or failed, and start exchanges that wait."""
         remaining = self.dial_counts[address] - 1
         if remaining:
             self.dial_counts[address] = remaining
         else:
             del self.dial_counts[address]
-        waiting = self._next_waiting(address)
-        if waiting is not None:
-            self._start_dial(address, *waiting)
+        self._serve_waiting(address)
 
     def _next_waiting(self, address: str) -> tuple[object, Exchange] | None:
         """Remove and return the first exchange that is wanted and waits for a connection to an address."""
@@ -150,23 +210,35 @@
             # outcome.
             if not connection.connected:
                 status = Status.NOT_SENT if e.errno in LOCAL_SHORTAGE_ERRORS else Status.CONNECT_FAILED
-                self._fail_waiting(address, status)
+                if address not in self.idle_by_address:
+                    self._fail_waiting(address, status)
                 exchange.finish(status)
         finally:
             if not connection.connected:
                 self.dial_ended(address)
 
+    def _reusable_at(self, connection: Connection, now: float) -> float:
+        """Return when an idle connection may carry another request; it may at once if it carried none."""
+        if not connection.requests_written:
+            return connection.idle_since
+        return connection.idle_since + self.reuse_delay.seconds(now)
+
     def _acquire_idle(self, address: str, process: object) -> Connection | None:
-        """Remove and return the connection to a process that is idle for longest, if there is one.
+        """Remove and return the connection to a process that is idle for longest, if it may be reused.
 
         Stray bytes that arrive some time after a good answer are then found while the connection is idle. On
         the most recently used one they would more likely follow the next request and be taken for its answer.
         """
+        now = time.monotonic()
         while (connection := next(iter(self.idle_by_address.get(address, ())), None)) is not None:
-            self._remove_idle(connection)
-            if connection.server_process == process:
+            if connection.server_process != process:
+                self._remove_idle(connection)
+                connection.drop(CloseReason.OTHER_PROCESS)
+            elif self._reusable_at(connection, now) > now:
+                return None
+            else:
+                self._remove_idle(connection)
                 return connection
-            connection.drop(CloseReason.OTHER_PROCESS)
         return None
 
     def descriptors_used(self) -> int:
@@ -184,15 +256,8 @@
         return self.descriptors.may_open(self) or self.close_one_idle()
 
     def release(self, connection: Connection) -> None:
-        """Use a free connection for a waiting exchange, or keep it until the server would close it."""
+        """Keep a free connection until the server would close it."""
         connection.idle_since = time.monotonic()
-        if self.wait_queues and (waiting := self._next_waiting(connection.address)) is not None:
-            process, exchange = waiting
-            if connection.server_process == process and connection.start_exchange(exchange):
-                return
-            self.wait_queues.setdefault(connection.address, deque()).appendleft(waiting)
-            if connection.transport.is_closing():
-                return
         self.idle[connection] = None
         idle_here = self.idle_by_address.get(connection.address)
         if idle_here is None:
@@ -200,6 +265,8 @@
         idle_here[connection] = None
         if self.idle_timer is None:
             self.idle_timer = asyncio.get_running_loop().call_later(self.idle_time, self._close_expired)
+        if self.wait_queues:
+            self._arm_reuse_timer(connection.address)
 
     def _close_expired(self) -> None:
         """Close connections that are idle for too long; one timer serves all, as nearly all are reused."""
@@ -245,6 +312,8 @@
         """Close all connections and cancel all dials."""
         if self.idle_timer is not None:
             self.idle_timer.cancel()
+        for timer in self.reuse_timers.values():
+            timer.cancel()
         self.wait_queues.clear()
         for connection in list(self.connections):
             connection.drop(CloseReason.ENDING)
--- a/tests/loopback.py
+++ b/tests/loopback.py
@@ -19,6 +19,7 @@
 from myrtlecourse.net.members import Member
 from myrtlecourse.net.origin import OriginConnection
 from myrtlecourse.net.pool import Pool
+from myrtlecourse.net.reuse_delay import MAX_REUSE_DELAY
 from myrtlecourse.net.servers import CacheConnection
 
 new_event_loop = asyncio.new_event_loop  # the event loop that tests run on
@@ -65,6 +66,12 @@
         await asyncio.sleep(0.001)
 
 
+def age_idle_connections(pool: Pool) -> None:
+    """Make the idle connections of a pool reusable, as if their last answers were long ago."""
+    for connection in pool.idle:
+        connection.idle_since -= MAX_REUSE_DELAY
+
+
 def format_address(address: tuple[str, int]) -> str:
     return f"{address[0]}:{address[1]}"
 
--- a/tests/test_net_hangup.py
+++ b/tests/test_net_hangup.py
@@ -17,6 +17,7 @@
     DelayedDials,
     Link,
     Router,
+    age_idle_connections,
     command,
     http,
     member,
@@ -149,6 +150,7 @@
             origin = await router.origin.link()
             await origin.http()
             second = await router.client()
+            age_idle_connections(router.servers)
             second.write(read("r2"))
             cache = await router.cache() if len(router.servers.idle) == 0 else cache
             await cache.resp()
--- a/tests/test_net_passing.py
+++ b/tests/test_net_passing.py
@@ -17,7 +17,19 @@
 from myrtlecourse.net import host as hosts
 from myrtlecourse.net import listener
 from myrtlecourse.net.servers import CacheConnection
-from tests.loopback import HIT, MISS, SETTINGS, Link, Router, http, needs_sources, read, run, until
+from tests.loopback import (
+    HIT,
+    MISS,
+    SETTINGS,
+    Link,
+    Router,
+    age_idle_connections,
+    http,
+    needs_sources,
+    read,
+    run,
+    until,
+)
 
 VALUE = b"".join(hashlib.sha256(b"%d" % n).digest() for n in range(9600))  # 307,200 bytes
 HEAD = b"*3\r\n$%d\r\n" % len(VALUE)
@@ -53,6 +65,7 @@
             got += await receive(client, len(VALUE) + 11 - len(got))
             assert got == b"$307200\r\n" + VALUE + b"\r\n"
             assert not router.host.requests and len(router.servers.idle) == 1
+            age_idle_connections(router.servers)
             client.write(read("r2"))
             assert (await cache.resp())[2] == b"r2"
             cache.write(HIT)
@@ -75,8 +88,10 @@
                 origin.write(VALUE[200_000:])
                 assert (await receive(client, len(VALUE) + 11 - 60_000)).endswith(VALUE[-1000:] + b"\r\n")
                 if name == "r1":
+                    age_idle_connections(router.servers)
                     client.write(read("r2"))
                     assert (await cache.resp())[2] == b"r2"
+                    age_idle_connections(router.origins)
                     cache.write(MISS)
 
     run(scenario)
--- a/tests/test_net_pool.py
+++ b/tests/test_net_pool.py
@@ -17,7 +17,7 @@
 from myrtlecourse.net.origin import OriginConnection
 from myrtlecourse.net.pool import Pool
 from myrtlecourse.net.servers import CacheConnection
-from tests.loopback import HIT, MISS, Link, Peer, format_address, http, run
+from tests.loopback import HIT, MISS, Link, Peer, age_idle_connections, format_address, http, run
 
 GET = Command(b"C.GET", b"k", b"r1", {"c": "read", "d": "900"}, 900)
 HUGE = Command(b"C.SET", b"k", b"r1", {"c": "book", "d": "900"}, 900, b"x" * 32_000_000)
@@ -72,6 +72,7 @@
             assert await link.resp() == [b"C.GET", b"k", b"r1", b"c=read,d=500"]
             link.write(answer)
             assert await attempts.next_result() == (status, value)
+            age_idle_connections(attempts.pool)
             attempts.start(peer.address)  # on the same connection
             await link.resp()
             attempts.pool.close()
@@ -139,6 +140,7 @@
                 link.write(HIT)
                 assert await attempts.next_result() == (Status.OK, b"value")
             links[1].write(HIT)  # a duplicate answer
+            age_idle_connections(attempts.pool)
             attempts.start(peer.address)
             await links[0].resp()
             assert await links[1].ended()
@@ -261,6 +263,7 @@
             await loop.sock_recv(first, 4096)
             await loop.sock_sendall(first, HIT)
             await attempts.next_result()
+            age_idle_connections(attempts.pool)
             first.close()  # the event loop has not polled since
             attempts.start(address)
             second, _ = await loop.sock_accept(server)
@@ -395,6 +398,7 @@
             assert (headers["request-id"], headers["request-info"]) == ("r1", "c=read,d=500")
             link.write(answer)
             assert await attempts.next_result() == (status, value)
+            age_idle_connections(attempts.pool)
             attempts.start(peer.address)  # on the same connection
             await link.http()
             attempts.pool.close()
@@ -598,6 +602,7 @@
             assert await attempts.next_result() == (Status.OK, b"value")
             (connection,) = attempts.pool.idle
             connection.transport = Crossing(connection, link, stale)
+            age_idle_connections(attempts.pool)
             attempts.start(peer.address)
             assert (await link.resp())[2] == b"r1"
             link.write(answer)
@@ -619,6 +624,7 @@
             link = await attempts.open_attempt(peer)
             link.write(HIT)
             assert await attempts.next_result() == (Status.OK, b"value")
+            age_idle_connections(attempts.pool)
             own = link.writer.get_extra_info("socket")
             with socket.socket(fileno=socket.dup(own.fileno())) as end:
                 if stale:
