Play second answers in the stand-in fleet and the soak, and judge those that cross a request

No tool played an answer that is sent twice some milliseconds apart.

Change: the fault second_answers has all servers, one, or the origin send a share of their answers again, up to 20 ms later (values, misses, refusals and errors, RESP and HTTP). The auditor has a rule for one that comes when its connection carries the next request (crossed); wrong values and repeats were judged already.

Measured: test_a_wrong_router_is_caught has a router that reuses connections at once; it is caught by crossed and by foreign.

--- a/myrtlecourse/audit/auditor.py
+++ b/myrtlecourse/audit/auditor.py
@@ -34,6 +34,7 @@
     "late": "no request is lost",
     "answered_twice": "no request is lost",
     "foreign": "no request is lost",
+    "crossed": "no request is lost",
     "sent_after_end": "no request is lost",
     "told_too_long": "no request is lost",
     "ran_twice": "nothing takes effect twice",
@@ -187,21 +188,32 @@
                 self._report_breach("answered_twice", event.at, event.router, event.after, detail=detail)
             case seen.AttemptReceived():
                 self._judge_attempt(event)
-            case seen.NeverRan():
-                for attempt in reversed(self._history(event.id, "", event.at).attempts):
-                    if attempt.server == event.box:
-                        attempt.never_ran = True
-                        break
-            case seen.WriteExecuted():
-                self._judge_write(event)
             case seen.ServerStarted():
                 self.started[event.box] = event.at
             case seen.ColdServerOverloaded():
                 self._judge_overload(event)
+            case seen.NeverRan() | seen.SecondAnswerSent() | seen.WriteExecuted():
+                self._judge_end_of_attempt(event)
             case _:
                 self._judge_fleet_event(event)
         self._forget()
 
+    def _judge_end_of_attempt(
+        self, event: seen.NeverRan | seen.SecondAnswerSent | seen.WriteExecuted
+    ) -> None:
+        """Judge what a server did with an attempt."""
+        match event:
+            case seen.NeverRan():
+                for attempt in reversed(self._history(event.id, "", event.at).attempts):
+                    if attempt.server == event.box:
+                        attempt.never_ran = True
+                        break
+            case seen.SecondAnswerSent() if event.crossed:
+                detail = "the next request was written before a second answer could show"
+                self._report_breach("crossed", event.at, event.router, event.id, event.box, detail)
+            case seen.WriteExecuted():
+                self._judge_write(event)
+
     def _judge_fleet_event(self, event: seen.Observation) -> None:
         """Handle observations of discovery, and of routers that start, stop or acknowledge bans."""
         match event:
--- a/myrtlecourse/audit/observations.py
+++ b/myrtlecourse/audit/observations.py
@@ -90,6 +90,19 @@
     box: str
 
 
+class SecondAnswerSent(ObservationBase, frozen=True, tag="answered_again"):
+    """A server has sent its answer to an attempt a second time.
+
+    `crossed` is whether the connection carried the next request by then, which can't tell the second answer
+    from its own.
+    """
+
+    id: str
+    box: str
+    router: str
+    crossed: bool
+
+
 class WriteExecuted(ObservationBase, frozen=True, tag="ran"):
     """A server has executed a write."""
 
@@ -230,6 +243,7 @@
     | UnexpectedBytes
     | AttemptReceived
     | NeverRan
+    | SecondAnswerSent
     | WriteExecuted
     | ServerStarted
     | ColdServerOverloaded
--- a/myrtlecourse/fleet/cache_server.py
+++ b/myrtlecourse/fleet/cache_server.py
@@ -13,6 +13,7 @@
 from myrtlecourse.fleet.core_queue import WorkItem
 from myrtlecourse.fleet.ports import Port, ServerConnection
 from myrtlecourse.fleet.scenario import RequestClass, Scenario
+from myrtlecourse.fleet.second_answers import SecondAnswers
 from myrtlecourse.fleet.server_models import Answer, AnswerKind, CacheServerModel, Request
 from myrtlecourse.net.command import MAX_VALUE, Command, CommandError, read_command
 from myrtlecourse.net.resp import INCOMPLETE, Message, Reader, RespError, split_command
@@ -144,6 +145,9 @@
         self.observe = observe
         self.generator = random.Random(f"{scenario.seed} spoilt {model.name}")
         self.corrupt_share = 0.0  # share of answers that are corrupted
+        self.second_answers = SecondAnswers(
+            model.name, random.Random(f"{scenario.seed} second answers {model.name}"), observe
+        )
         self.connections: dict[Request, CacheServerConnection] = {}
         self.ports: dict[str, Port] = {}
         self.timer: asyncio.TimerHandle | None = None
@@ -175,6 +179,7 @@
         if item is None:
             self.observe(seen.NeverRan(now, request.id, self.model.name))
             connection.write(BUSY)
+            self.second_answers.after_answer(connection, request, BUSY)
             return None
         self.connections[request] = connection
         self._schedule()
@@ -228,6 +233,7 @@
                     self._send_corrupt(connection, reply)
                     return
         connection.send_answer(reply)
+        self.second_answers.after_answer(connection, answer.request, reply)
 
     def _send_corrupt(self, connection: CacheServerConnection, reply: bytes) -> None:
         """Send a corrupt answer of one of four kinds and close the connection."""
--- a/myrtlecourse/fleet/faults.py
+++ b/myrtlecourse/fleet/faults.py
@@ -8,6 +8,7 @@
 import random
 from dataclasses import dataclass
 
+from myrtlecourse.audit.origin import ORIGIN
 from myrtlecourse.fleet import scenario as scenarios
 from myrtlecourse.load.profile import HotKeys
 
@@ -17,8 +18,9 @@
     """One change to a part of the fleet: `action` is applied to `target`, `at` seconds after the start.
 
     `target` is a cache server, `origin`, `discovery`, `router-N` or `holder-DUTY-N` (the holder of a duty
-    when fault number N begins). `value` is a speed factor, the share of corrupt answers, or the number of
-    further signals at a restart. `duration` is how long the effect lasts if a later step ends it.
+    when fault number N begins). `value` is a speed factor, the share of corrupt or second answers, or the
+    number of further signals at a restart. `duration` is how long the effect lasts if a later step ends it.
+    `delay` is the longest time, in seconds, after which a second answer follows the first.
     """
 
     at: float
@@ -27,6 +29,7 @@
     value: float = 0.0
     duration: float = 0.0
     routers: tuple[str, ...] = ()  # the routers that the step concerns; empty for all
+    delay: float = 0.0
 
 
 PEERS = "peers"  # the target of steps between routers
@@ -80,6 +83,15 @@
             return begin_and_end("refuse", "accept", fault.box)
         case scenarios.Spoilt():
             return begin_and_end("spoil", "heal", fault.box, fault.share)
+        case scenarios.SecondAnswers():
+            return [
+                step
+                for server in _answering_servers(scenario, fault)
+                for step in (
+                    Step(at, "repeat_answers", server, fault.share, fault.seconds, delay=fault.latest),
+                    Step(at + fault.seconds, "single_answers", server),
+                )
+            ]
         case scenarios.Slow():
             return [
                 Step(at, "pace", fault.box, fault.factor),
@@ -134,6 +146,13 @@
     return [server for i, server in enumerate(scenario.cache_servers()) if zone_of(scenario, i) == fault.zone]
 
 
+def _answering_servers(scenario: scenarios.Scenario, fault: scenarios.SecondAnswers) -> list[str]:
+    if fault.box is not None:
+        return [fault.box]
+    origin = [] if scenario.origin is None else [ORIGIN]
+    return [*scenario.cache_servers(), *origin]
+
+
 def _partition_steps(
     scenario: scenarios.Scenario, fault: scenarios.Split | scenarios.Unreached, number: int
 ) -> list[Step]:
--- a/myrtlecourse/fleet/loopback_fleet.py
+++ b/myrtlecourse/fleet/loopback_fleet.py
@@ -192,6 +192,8 @@
         assert self.origin is not None
         if step.action == "pace":
             self.origin.set_speed(step.value)
+        elif step.action in ("repeat_answers", "single_answers"):
+            self.origin.second_answers.set_share(step.value, step.delay)
         else:
             for port in self.origin.ports.values():
                 self._apply_to_port(step, port)
@@ -203,6 +205,8 @@
                 server.freeze(step.action == "freeze")
             case "spoil" | "heal":
                 server.corrupt_share = step.value
+            case "repeat_answers" | "single_answers":
+                server.second_answers.set_share(step.value, step.delay)
             case "pace":
                 server.set_speed(step.value)
             case "crash" | "end":
--- a/myrtlecourse/fleet/origin_server.py
+++ b/myrtlecourse/fleet/origin_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+import random
 import time
 from collections.abc import Callable
 from urllib.parse import unquote
@@ -16,6 +17,7 @@
 from myrtlecourse.fleet.layout import ORIGIN as NAME
 from myrtlecourse.fleet.ports import Port, ServerConnection
 from myrtlecourse.fleet.scenario import RequestClass, Scenario
+from myrtlecourse.fleet.second_answers import SecondAnswers
 from myrtlecourse.fleet.server_models import Answer, AnswerKind, OriginModel, Request
 from myrtlecourse.net.command import MAX_VALUE, Command, CommandError, read_info
 
@@ -73,10 +75,12 @@
                 case _:
                     return  # no more data, or the last answer is still owed
 
-    def reply(self, status: int, body: bytes = b"", headers: list[tuple[bytes, bytes]] | None = None) -> None:
-        """Answer the current request."""
+    def reply(
+        self, status: int, body: bytes = b"", headers: list[tuple[bytes, bytes]] | None = None
+    ) -> bytes:
+        """Answer the current request and return the bytes written; none if the connection has ended."""
         if self.transport.is_closing() or not self.open:
-            return
+            return b""
         length = [(b"Content-Length", b"%d" % len(body))]
         answer = h11.Response(
             status_code=status, headers=length + (headers or []), reason=REASONS.get(status, b"")
@@ -92,6 +96,7 @@
         elif self.http.our_state is h11.DONE and self.http.their_state is h11.DONE:
             self.http.start_next_cycle()
             self._read()
+        return data
 
 
 class OriginConnection(HttpConnection):
@@ -140,6 +145,9 @@
         self.classes: dict[str, RequestClass] = {c.name: c for c in scenario.classes}
         self.observe = observe
         self.on_answer = on_answer
+        self.second_answers = SecondAnswers(
+            NAME, random.Random(f"{scenario.seed} second answers {NAME}"), observe
+        )
         self.connections: dict[Request, OriginConnection] = {}
         self.ports: dict[str, Port] = {}
         self.timer: asyncio.TimerHandle | None = None
@@ -161,7 +169,8 @@
         item = self.model.arrive(now, request)
         if item is None:
             self.observe(seen.NeverRan(now, request.id, NAME))
-            connection.reply(503, b"", [(b"Not-Started", b"1")])
+            data = connection.reply(503, b"", [(b"Not-Started", b"1")])
+            self.second_answers.after_answer(connection, request, data)
             return None
         self.connections[request] = connection
         self._schedule()
@@ -194,9 +203,10 @@
                 continue
             connection.current_item = None
             if answer.kind is AnswerKind.ERROR:
-                connection.reply(500, b"failed")
+                data = connection.reply(500, b"failed")
             else:
-                connection.reply(200, value_for(answer.request.id, answer.version, answer.size))
+                data = connection.reply(200, value_for(answer.request.id, answer.version, answer.size))
+            self.second_answers.after_answer(connection, answer.request, data)
         self._schedule()
 
     def set_speed(self, factor: float) -> None:
--- a/myrtlecourse/fleet/scenario.py
+++ b/myrtlecourse/fleet/scenario.py
@@ -186,6 +186,16 @@
     share: Share = 0.2
 
 
+class SecondAnswers(Struct, forbid_unknown_fields=True, frozen=True, tag="second_answers", tag_field="what"):
+    """A share of the answers is sent a second time, at most `latest` seconds after the first."""
+
+    at: Time
+    seconds: Positive
+    box: str | None = None  # or `origin`; None: all servers and the origin
+    share: Share = 0.3
+    latest: Annotated[float, Meta(gt=0.0, le=1.0)] = 0.02
+
+
 class Slow(Struct, forbid_unknown_fields=True, frozen=True, tag="slow", tag_field="what"):
     """The cores work at `factor` times their speed; neither the process nor the list shows it."""
 
@@ -302,6 +312,7 @@
     | Refuse
     | Silence
     | Spoilt
+    | SecondAnswers
     | Slow
     | IdleDrop
     | DiscoveryAway
@@ -352,7 +363,7 @@
 
     def _check(self, field: str, fault: Fault, names: set[str]) -> None:
         box = getattr(fault, "box", None)
-        may_be_origin = isinstance(fault, Slow | Silence | Unreached)
+        may_be_origin = isinstance(fault, Slow | Silence | Unreached | SecondAnswers)
         known = names | ({"origin"} if self.origin and may_be_origin else set())
         if box is not None and box not in known:
             raise ValueError(f"{field}: no box is named {box!r}; there are {', '.join(sorted(known))}")
--- a/myrtlecourse/soak/cases.py
+++ b/myrtlecourse/soak/cases.py
@@ -17,7 +17,9 @@
 
 ANSWER_SLACK = 0.5  # seconds by which an answer may exceed its deadline before it counts as late
 MARGIN = 1.5  # seconds before the first fault, and after the end of the last one
-MAX_FAULTS = 8
+MAX_DRAWN_FAULTS = 8  # besides second answers
+MAX_FAULTS = MAX_DRAWN_FAULTS + 1
+SECOND_ANSWERS_SHARE = 0.4  # share of the cases in which servers send second answers
 SERVER_COUNTS = (4, 12, 40, 120)  # numbers of cache servers
 
 
@@ -65,7 +67,7 @@
         self.deadline = rng.choice([0.4, 0.8, 1.5, 2.5])
         self.window = rng.choice([1.5, 4.0, 15.0])
         self.drain = rng.uniform(2.6, 4.0)
-        faults = sorted(self._faults(), key=lambda f: f.at)
+        faults = sorted([*self._faults(), *self._second_answers()], key=lambda f: f.at)
         scenario = fleet.Scenario(
             seconds=self.seconds,
             seed=self.seed,
@@ -169,9 +171,17 @@
                 self._time(2.0), self._duration(0.5, 3.0), self._router(), self._connection_count()
             ),
         )
-        count = self.rng.randint(3, MAX_FAULTS)
+        count = self.rng.randint(3, MAX_DRAWN_FAULTS)
         return [make_fault() for make_fault in self.rng.choices(fault_makers, k=count)]
 
+    def _second_answers(self) -> list[fleet.Fault]:
+        """Draw second answers of all servers, from numbers of their own: a seed's other faults stay."""
+        rng = random.Random(f"{self.seed} second answers")
+        if rng.random() >= SECOND_ANSWERS_SHARE:
+            return []
+        at = rng.uniform(MARGIN, max(MARGIN, self.seconds - MARGIN - 2.0))
+        return [fleet.SecondAnswers(at, rng.uniform(1.0, self.seconds / 2), share=rng.uniform(0.2, 0.6))]
+
     def _time(self, reserve: float = 0.0) -> float:
         return self.rng.uniform(MARGIN, max(MARGIN, self.seconds - MARGIN - reserve))
 
--- a/tests/soak_wrong.py
+++ b/tests/soak_wrong.py
@@ -8,6 +8,7 @@
 
 from myrtlecourse import __main__ as program
 from myrtlecourse.net import host
+from myrtlecourse.net.reuse_delay import ReuseDelay
 from myrtlecourse.service import Service
 
 
@@ -36,7 +37,12 @@
     host.Host.apply_list = take_ready  # type: ignore[method-assign]
 
 
-VARIANTS = (ends_at_once, misses_deadlines, forgets_drains)
+def reuses_connections_at_once() -> None:
+    """Writes the next request on a connection as soon as its last answer is complete."""
+    ReuseDelay.seconds = lambda self, now: 0.0  # type: ignore[method-assign]
+
+
+VARIANTS = (ends_at_once, misses_deadlines, forgets_drains, reuses_connections_at_once)
 
 if __name__ == "__main__":
     next(variant for variant in VARIANTS if variant.__name__ == sys.argv[1])()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -71,7 +71,8 @@
     found: Counter[str] = Counter()
     for seed in range(200):
         found.update(type(f).__name__ for f in draw_case(seed, 14.0).scenario.faults)
-    assert {"Crowd", "Reload", "Restart", "Stall", "Replace", "DiscoveryAway"} <= found.keys()
+    required = {"Crowd", "Reload", "Restart", "Stall", "Replace", "DiscoveryAway", "SecondAnswers"}
+    assert required <= found.keys()
     assert min(found.values()) > 20
 
 
@@ -104,7 +105,13 @@
 @pytest.mark.processes
 @pytest.mark.parametrize(
     ("variant", "breach"),
-    [("ends_at_once", "lost"), ("misses_deadlines", "told_too_long"), ("forgets_drains", "sent_to_drained")],
+    [
+        ("ends_at_once", "lost"),
+        ("misses_deadlines", "told_too_long"),
+        ("forgets_drains", "sent_to_drained"),
+        ("reuses_connections_at_once", "crossed"),
+        ("reuses_connections_at_once", "foreign"),
+    ],
 )
 def test_a_wrong_router_is_caught(variant: str, breach: str, library: Path, tmp_path: Path) -> None:
     assert variant in {w.__name__ for w in soak_wrong.VARIANTS}
@@ -112,6 +119,7 @@
     faults: tuple[fleet.Fault, ...] = (
         fleet.Freeze(2.0, "std-0", 3.0),
         fleet.Replace(2.0, box="std-1", drain=4.0),
+        fleet.SecondAnswers(1.5, 6.0, share=0.5),
         *(fleet.Restart(3.0 + n, n % case.scenario.routers) for n in range(4)),
     )
     case = replace(case, scenario=msgspec.structs.replace(case.scenario, faults=faults))
