Take no value from an answer that comes before the end of its request

A client whose long write was still being sent was served whatever value came on that connection.

Cause: Connection.data_received finished the exchange with the status of any whole answer, also while bytes of the request were still in this process's buffer, so that no server could have begun it.

Evidence: the test has a peer that reads one byte of a 32 MB write and answers; before, the write was served that value, or taken for a miss (both cases failed).

Why this works: a value or a miss needs a whole request; one that comes sooner ends the connection, and the attempt as not connected, since its last byte was never written and so it never ran. A long value that begins so early is rejected before any of it is passed on. Refusals and errors are left as they were: a server may turn away a request that it has not read whole.

--- a/myrtlecourse/net/connection.py
+++ b/myrtlecourse/net/connection.py
@@ -32,6 +32,8 @@
 PEER_CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 log = logging.getLogger(__name__)
 rate_limited_log = RateLimitedLog(log)
+# what a server can only answer to a whole request; sooner, it is the answer to another one
+NEEDS_WHOLE_REQUEST = (Status.OK, Status.MISS)
 connection_numbers = itertools.count(1)  # tell the connections of this process apart in the request log
 
 Answer = tuple[Status, bytes]
@@ -336,6 +338,8 @@
             return
         try:
             answer = self.decode(data)
+            if self.stream_length and self._is_partly_written():
+                raise MalformedAnswer("it came before the end of its request")
             if self.stream_length and not self._forward_chunks(exchange):
                 return
         except Exception as e:
@@ -345,6 +349,8 @@
         if answer is None:
             self._arm_answer_timer(exchange)
         else:
+            if answer[0] in NEEDS_WHOLE_REQUEST and self._is_partly_written():
+                answer = (Status.CONNECT_FAILED, b"")
             self.resume()
             self.cancel_answer_timer()
             self.exchange = None
@@ -356,6 +362,10 @@
                 self.drop(CloseReason.UNUSABLE_ANSWER)
             exchange.finish(*answer)
 
+    def _is_partly_written(self) -> bool:
+        """Return whether bytes of the request have not been written: no server has begun it then."""
+        return not self.written and self.transport.get_write_buffer_size() > 0
+
     def _drop_unexpected_bytes(self) -> None:
         """Close an idle connection on which bytes arrived: they would be taken for the next answer."""
         if self.requests_written:
--- a/tests/test_net_reuse.py
+++ b/tests/test_net_reuse.py
@@ -42,8 +42,9 @@
         self.pool = Pool(kind, budget, 1.0, 60.0)
         self.outcomes: asyncio.Queue[tuple[str, Status, bytes]] = asyncio.Queue()
 
-    def start(self, peer: Peer, name: str) -> Exchange:
-        command = Command(b"C.GET", b"k", name.encode(), {"c": "read", "d": "900"}, 900)
+    def start(self, peer: Peer, name: str, value: bytes | None = None) -> Exchange:
+        verb = b"C.GET" if value is None else b"C.SET"
+        command = Command(verb, b"k", name.encode(), {"c": "read", "d": "900"}, 900, value)
         return self.pool.start_attempt(
             peer.address, command, 0.5, lambda status, value: self.outcomes.put_nowait((name, status, value))
         )
@@ -96,6 +97,34 @@
     run(scenario)
 
 
+@pytest.mark.parametrize(
+    ("answer", "status"),
+    [
+        (HIT, Status.CONNECT_FAILED),
+        (MISS, Status.CONNECT_FAILED),
+        (b"-BUSY\r\n", Status.FULL),
+        (b"-ERR failed\r\n", Status.ERROR),
+        (b"*3\r\n$70000\r\n" + b"x" * 70000, Status.ERROR),
+    ],
+)
+def test_an_answer_that_comes_before_the_end_of_a_request_is_not_its_own(
+    answer: bytes, status: Status
+) -> None:
+    """A client was served another request's value while its own write was still on the way."""
+
+    async def scenario() -> None:
+        async with Peer() as peer:
+            attempts = Attempts(CacheConnection)
+            attempts.start(peer, "r1", b"x" * 32_000_000)
+            link = await peer.link()
+            await link.reader.read(1)
+            link.write(answer)
+            assert await attempts.outcomes.get() == ("r1", status, b"")
+            assert not attempts.pool.connections
+
+    run(scenario)
+
+
 def test_an_exchange_waits_for_a_connection_that_may_be_reused_soon() -> None:
     """A dial in its place would cost the server a handshake for a few milliseconds."""
 
