Dial at cache servers instead of waiting for a connection that may not be reused yet

Cause: the decision module counts the wait for a connection as silence of the server. Beside answers within a few milliseconds a wait of up to 40 ms looks like a lost attempt: a second one is sent, which counts against what a cold server bears, and further reads are refused as cold.

Why this works: a request to a cache server waits 2 ms at most, less than any span after which an attempt is overdue, and dials otherwise. At the origin, which is slow and takes few connections, it waits as before.

Ruled out: a hedge held back by the host until its first attempt is written would do without dials, but leaves evidence, latencies and the silence of servers wrong in the module.

--- a/myrtlecourse/net/connection.py
+++ b/myrtlecourse/net/connection.py
@@ -10,7 +10,7 @@
 import time
 from abc import abstractmethod
 from collections.abc import Callable
-from typing import TYPE_CHECKING, Protocol, cast
+from typing import TYPE_CHECKING, ClassVar, Protocol, cast
 
 from myrtlecourse.interface import Status
 from myrtlecourse.net.command import Command
@@ -139,6 +139,10 @@
 class Connection(asyncio.BufferedProtocol):
     """A connection to the server at one address."""
 
+    # Seconds that an exchange waits for a connection that may be reused soon. The wait counts as silence of
+    # the server: with a server that answers in milliseconds, a longer one looks like a lost attempt.
+    max_reuse_wait: ClassVar[float] = 0.002
+
     def __init__(self, pool: Pool, address: str) -> None:
         self.pool = pool
         self.address = address
--- a/myrtlecourse/net/origin.py
+++ b/myrtlecourse/net/origin.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from typing import ClassVar
 from urllib.parse import quote_from_bytes
 
 from myrtlecourse.interface import Status
@@ -9,6 +10,7 @@
 from myrtlecourse.net.connection import Answer, Connection, MalformedAnswer
 from myrtlecourse.net.http import HttpClient, HttpError, Response
 from myrtlecourse.net.pool import Pool
+from myrtlecourse.net.reuse_delay import MIN_REUSE_DELAY
 
 
 class OriginConnection(Connection):
@@ -18,6 +20,9 @@
     ends with a reset may be incomplete and counts as failed.
     """
 
+    # The origin is slow by design, and takes a limited number of connections from all routers.
+    max_reuse_wait: ClassVar[float] = MIN_REUSE_DELAY
+
     def __init__(self, pool: Pool, address: str) -> None:
         super().__init__(pool, address)
         self.http_client = HttpClient(address, MAX_BUFFERED_ANSWER, pool.max_streamed)
--- a/myrtlecourse/net/pool.py
+++ b/myrtlecourse/net/pool.py
@@ -15,7 +15,7 @@
 from myrtlecourse.net.descriptors import DescriptorBudget
 from myrtlecourse.net.flow_control import StreamWindows
 from myrtlecourse.net.request_log import CloseReason
-from myrtlecourse.net.reuse_delay import MIN_REUSE_DELAY, ReuseDelay
+from myrtlecourse.net.reuse_delay import ReuseDelay
 
 IDLE_MARGIN = 0.5  # an idle connection is closed so many seconds before its server may close it
 # errors of socket() and connect() that say nothing about the server: this machine lacks descriptors, ports or
@@ -24,8 +24,6 @@
     {errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM, errno.EADDRNOTAVAIL, errno.EAGAIN}
 )
 MAX_DIALS_PER_ADDRESS = 16  # concurrent dials; handshakes are work for a server, above all one just started
-# seconds that an exchange waits for a connection that may be reused soon: servers limit their connections
-MAX_REUSE_WAIT = MIN_REUSE_DELAY
 MAX_STREAMED_ANSWER = 4 * 1024 * 1024  # bytes of a long answer, unless configured
 
 
@@ -120,7 +118,7 @@
         if connection is None:
             return False
         now = time.monotonic()
-        return self._reusable_at(connection, now) - now <= MAX_REUSE_WAIT
+        return self._reusable_at(connection, now) - now <= connection.max_reuse_wait
 
     def _enqueue(self, address: str, process: object, exchange: Exchange) -> None:
         self.wait_queues.setdefault(address, deque()).append((process, exchange))
--- a/tests/test_net_reuse.py
+++ b/tests/test_net_reuse.py
@@ -23,13 +23,14 @@
 from myrtlecourse.net.servers import CacheConnection
 from tests.loopback import HIT, MISS, Link, Peer, http, run
 
+VALUE = http("200 OK", b"value")
 BUSY_ORIGIN = http("503 Busy", b"", "Not-Started: 1")
 STALE = [
     (CacheConnection, HIT),
     (CacheConnection, MISS),
     (CacheConnection, b"-BUSY\r\n"),
     (CacheConnection, b"-ERR failed\r\n"),
-    (OriginConnection, http("200 OK", b"value")),
+    (OriginConnection, VALUE),
     (OriginConnection, BUSY_ORIGIN),
 ]
 
@@ -131,8 +132,8 @@
 
     async def scenario() -> None:
         async with Peer() as peer:
-            attempts = Attempts(CacheConnection)
-            link = await attempts.answered_link(peer, "r1", HIT)
+            attempts = Attempts(OriginConnection)
+            link = await attempts.answered_link(peer, "r1", VALUE)
             attempts.start(peer, "r2")
             attempts.start(peer, "r3")  # the connection serves one of them
             assert attempts.pool.dial_counts == {peer.address: 1}
@@ -149,10 +150,10 @@
 
     async def scenario() -> None:
         async with Peer() as peer:
-            attempts = Attempts(CacheConnection)
-            link = await attempts.answered_link(peer, "r1", HIT)
+            attempts = Attempts(OriginConnection)
+            link = await attempts.answered_link(peer, "r1", VALUE)
             attempts.start(peer, "r2")
-            link.write(HIT)
+            link.write(VALUE)
             assert await link.ended()
             other = await peer.link()
             assert await attempts.received(other) == "r2"
@@ -164,8 +165,8 @@
 def test_an_exchange_given_up_while_it_waits_is_not_sent() -> None:
     async def scenario() -> None:
         async with Peer() as peer:
-            attempts = Attempts(CacheConnection)
-            link = await attempts.answered_link(peer, "r1", HIT)
+            attempts = Attempts(OriginConnection)
+            link = await attempts.answered_link(peer, "r1", VALUE)
             attempts.start(peer, "r2").abandon()
             await asyncio.sleep(MIN_REUSE_DELAY)
             attempts.start(peer, "r3")
@@ -181,12 +182,12 @@
 
     async def scenario() -> None:
         async with Peer() as peer:
-            attempts = Attempts(CacheConnection)
-            link = await attempts.answered_link(peer, "r1", HIT)
+            attempts = Attempts(OriginConnection)
+            link = await attempts.answered_link(peer, "r1", VALUE)
             for name in ("r2", "r3", "r4"):
                 attempts.start(peer, name)
                 assert await attempts.received(link) == name
-                link.write(HIT)
+                link.write(VALUE)
                 assert await attempts.outcomes.get() == (name, Status.OK, b"value")
             assert peer.links.empty() and len(attempts.pool.connections) == 1
             attempts.pool.close()
@@ -199,8 +200,8 @@
 
     async def scenario() -> None:
         async with Peer() as peer:
-            attempts = Attempts(CacheConnection)
-            link = await attempts.answered_link(peer, "r1", HIT)
+            attempts = Attempts(OriginConnection)
+            link = await attempts.answered_link(peer, "r1", VALUE)
             attempts.start(peer, "r2")
             peer.server.close()
             attempts.start(peer, "r3")  # dials
@@ -211,6 +212,22 @@
     run(scenario)
 
 
+def test_a_read_is_not_held_up_by_a_connection_to_a_cache_server() -> None:
+    """The wait looked like a lost attempt: hedged requests filled a cold server, which refused reads."""
+
+    async def scenario() -> None:
+        async with Peer() as peer:
+            attempts = Attempts(CacheConnection)
+            await attempts.answered_link(peer, "r1", HIT)
+            attempts.start(peer, "r2")
+            assert attempts.pool.dial_counts == {peer.address: 1}
+            other = await peer.link()
+            assert await attempts.received(other) == "r2"
+            attempts.pool.close()
+
+    run(scenario)
+
+
 def test_a_connection_that_carried_nothing_is_used_at_once() -> None:
     async def scenario() -> None:
         async with Peer() as peer:
