--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -1,7 +1,7 @@
 """Stand-ins for the review's cases: cache servers, origin, discovery, platform and clients, on loopback.
 
-Only the standard library is used. All stand-ins of a case run in one asyncio event loop, in the process of the
-case; the routers are separate processes, started with the `run` command of the deploy file. A stand-in behaves
+Only the standard library is used. All stand-ins of a case run in one asyncio event loop, in the process of
+the case; the routers are separate processes, started with `run` of the deploy file. A stand-in behaves
 like a sound server as the operators' pages describe it, unless a case replaces one of its methods.
 """
 
