--- a/review/1/case.py
+++ b/review/1/case.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import sys
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "standins"))
-from fleet import Client, Fleet, RouterProcess, encode, main, trouble  # noqa: E402
+from fleet import Client, Fleet, RouterProcess, encode, main  # noqa: E402
 
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"  # whether the disruption is played
 SOCKETS = 256  # descriptors of the router; STANDING.md and LATER.md: 256 to 1,024
 USUAL = 30  # connections of usual clients: under a third of the descriptors
 SILENT = 200  # bad clients that connect and say nothing ("by hundreds")
@@ -42,8 +44,11 @@
                 request_id = self.fleet.new_id()
                 key = b"lesson-%d" % ((self.number + count) % 50)
                 info = b"c=timetable-read,t=shannonside,d=%d" % (DEADLINE * 1000)
+                name = request_id.decode()
+                self.fleet.log_request(f"client {self.number} sent C.GET {key.decode()} {name}")
                 self.client.writer.write(encode([b"C.GET", key, request_id, info]))
                 answer = await asyncio.wait_for(self.client.read_answer(), DEADLINE + 0.5)
+                self.fleet.log_request(f"client {self.number} got for {name}: {answer!r}")
                 if answer is None:  # closed between requests: the client asks again on another connection
                     self.closed += 1
                     self.client = None
@@ -114,7 +119,6 @@
     router = fleet.router("router", config)
     await router.start()
     await router.wait_ready()
-    fleet.quiet = True
     end = time.monotonic() + TROUBLE_TIME
     address = config["listen"]
     usual = [Usual(fleet, address, i) for i in range(USUAL)]
@@ -122,7 +126,7 @@
     counts = {"hasty": 0}
     bad: list[asyncio.Task[None]] = []
     await asyncio.sleep(1.0)
-    if trouble():
+    if TROUBLE:
         fleet.log(f"trouble begins: {SILENT} silent clients, {HASTY} hasty clients")
         bad = [asyncio.create_task(silent(address)) for _ in range(SILENT)]
         bad += [asyncio.create_task(hasty(fleet, address, counts)) for _ in range(HASTY)]
@@ -152,6 +156,8 @@
     if answered:
         return []
     took, used = time.monotonic() - begun, cpu_seconds(router) - cpu
+    if used < took / 2:
+        raise RuntimeError("the router answers no PING and waits: not what this case looks for")
     breaches = [
         f"crash: for {took:.1f} s without clients the router answered no PING and used {used:.1f} s of cpu"
     ]
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -3,29 +3,56 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import sys
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "standins"))
-from fleet import SLACK, CacheServer, Fleet, encode, main, reset, trouble  # noqa: E402
+from fleet import SLACK, CacheServer, Fleet, encode, main, reset  # noqa: E402
 
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"  # whether the disruption is played
 LONG = 1024 * 1024  # bytes of the long value
 
 
 class Breaking(CacheServer):
     """Resets the connection while it gives the long value."""
 
+    resets = 0
+
     async def send_value(self, key, request_id, value, writer):
-        if len(value) < LONG or not trouble():
+        if len(value) < LONG or not TROUBLE:
             return await super().send_value(key, request_id, value, writer)
         writer.write(b"*3\r\n$%d\r\n%b" % (len(value), value[: LONG // 2]))
         await writer.drain()
         await asyncio.sleep(0.3)
         self.fleet.log(f"{self.name} resets the connection in the midst of id={request_id.decode()}")
+        Breaking.resets += 1
         reset(writer)
         return False
 
 
+async def judge_unanswered(fleet: Fleet, address: str, command: list[bytes]) -> str:
+    """Return the breach by a command that got no answer, or an empty text if it is excused.
+
+    If the router had not read it, it has sent nothing on, and the client sends it once more on a new connection.
+    """
+    what = b" ".join(command[:3]).decode()
+    sent_on = [line for line in fleet.arrivals if command[2].decode() in line]
+    if sent_on:
+        ran = ", and its write ran" if any(r[1] == command[2] for r in fleet.origin.runs) else ""
+        return f"lost: {what} was taken, sent on ({sent_on[0]}) and never answered{ran}"
+    fleet.log(f"no server has seen {what}: the client sends it once more, on a new connection")
+    answer = None
+    try:
+        client = await fleet.connect(address)
+        client.writer.write(encode(command))
+        answer = await asyncio.wait_for(client.read_answer(), 3.0 + SLACK)
+    except (OSError, TimeoutError) as e:
+        fleet.log(f"on the new connection: {e!r}")
+    fleet.log(f"client got for {command[2].decode()}: {answer!r}")
+    return "" if answer is not None else f"lost: {what} was never answered, on a new connection neither"
+
+
 async def case(fleet: Fleet) -> list[str]:
     for server in fleet.servers:
         server.__class__ = Breaking
@@ -63,14 +90,14 @@
     fleet.log(f"answers took {fleet.record.now() - sent_at:.3f} s")
     answers += [None] * (len(commands) - len(answers))
     await asyncio.sleep(0.5)
+    if TROUBLE and not Breaking.resets:
+        raise RuntimeError("the long value was not begun, so that nothing broke off")
     # The first may end unfinished, as the client can tell. The others were taken and are owed an answer.
     for command, answer in zip(commands[1:], answers[1:], strict=True):
-        if answer is None:
-            ran = any(r[1] == command[2] for r in fleet.origin.runs)
-            what = f"lost: {b' '.join(command[:3]).decode()} was taken and never answered"
-            breaches.append(what + (", and its write ran" if ran else ""))
-    if not trouble() and answers[0] != b"$" + b"t" * LONG:
-        breaches.append("the long value was not served")
+        if answer is None and (breach := await judge_unanswered(fleet, router.config["listen"], command)):
+            breaches.append(breach)
+    if not TROUBLE and answers[0] != b"$" + b"t" * LONG:
+        raise RuntimeError("the long value was not served, though nothing broke off")
     if not router.running:
         breaches.append("the router ended")
     return breaches
