--- a/review/2/case.py
+++ b/review/2/case.py
@@ -34,7 +34,7 @@
 async def judge_unanswered(fleet: Fleet, address: str, command: list[bytes]) -> str:
     """Return the breach by a command that got no answer, or an empty text if it is excused.
 
-    If the router had not read it, it has sent nothing on, and the client sends it once more on a new connection.
+    If the router had not read it, it has sent nothing on, and the client sends it once more.
     """
     what = b" ".join(command[:3]).decode()
     sent_on = [line for line in fleet.arrivals if command[2].decode() in line]
