Choose no connection that is ending already to make room for a client

Cause: Listener._make_room closes one connection after the other without a turn of the event loop and relies on close() to change what it counts. close() does nothing for a connection whose client has left or whose transport is closing, and connections in their pause after an error were chosen without asking for that. The same one was chosen for ever, as connection_lost, which takes it out, comes in a later turn.

Why this works: no connection that is ending is chosen, of any kind; close() and the choice ask the same question (ending). With no other to close the loop waits for the next connection that ends, which turns the event loop.

The choice is a method of its own now; "no_more_commands" is not asked there any more, as a connection without slots for which it is set is closed at once, and so ending.

--- a/myrtlecourse/net/clients.py
+++ b/myrtlecourse/net/clients.py
@@ -364,13 +364,17 @@
         requests_log.connection_closed("client", self.descriptor, reason, len(self.slots))
         self.transport.abort()
 
+    def ending(self) -> bool:
+        """Return whether the connection ends already, so that `close` would do nothing."""
+        return self.half_closed or self.client_left or self.transport.is_closing()
+
     def close(self, reason: CloseReason) -> None:
         """Close with lingering: shut down the sending side, read and discard for a while, then close.
 
         A close while received bytes are unread resets the connection, and the client loses the answers that
         it has not read yet. May be called again.
         """
-        if self.half_closed or self.client_left or self.transport.is_closing():
+        if self.ending():
             return
         requests_log.connection_closed("client", self.descriptor, reason, len(self.slots))
         self.no_more_commands = self.half_closed = True
--- a/myrtlecourse/net/listener.py
+++ b/myrtlecourse/net/listener.py
@@ -208,21 +208,7 @@
             if len(self.lingering) > LINGERING_ALLOWANCE:
                 self._evict(next(iter(self.lingering)))
                 continue
-            after_error = (c for c in self.paused_after_error if not c.slots and not c.no_more_commands)
-            # Only a few connections are checked: asking the kernel about each, for each new client, took 10%
-            # of a core.
-            late_first = (
-                c
-                for c, since in islice(self.awaiting_command.items(), MAX_CANDIDATES)
-                if now - since > FIRST_COMMAND_GRACE
-            )
-            single_command = (c for c in islice(self.idle, MAX_CANDIDATES) if c.command_count == 1)
-            idle = islice(self.idle, MAX_CANDIDATES)
-            candidate = next(after_error, None)
-            if candidate is None:
-                candidate = next(
-                    (c for c in chain(late_first, single_command, idle) if not c.has_unread_input()), None
-                )
+            candidate = self._connection_to_close(now)
             if candidate is not None:
                 candidate.close(CloseReason.NO_ROOM)
                 continue
@@ -230,6 +216,29 @@
                 async with asyncio.timeout(FIRST_COMMAND_GRACE):
                     await self.state_changed.wait()
 
+    def _connection_to_close(self, now: float) -> ClientConnection | None:
+        """Return the connection to close for a new client, or None if there is none.
+
+        A connection that is ending is not chosen: its descriptor becomes free in a later iteration of the
+        event loop, and closing it again changes nothing.
+        """
+        for connection in self.paused_after_error:
+            if not connection.slots and not connection.ending():
+                return connection
+        # Only a few connections are checked: asking the kernel about each, for each new client, took 10% of a
+        # core.
+        late_first = (
+            c
+            for c, since in islice(self.awaiting_command.items(), MAX_CANDIDATES)
+            if now - since > FIRST_COMMAND_GRACE
+        )
+        single_command = (c for c in islice(self.idle, MAX_CANDIDATES) if c.command_count == 1)
+        idle = islice(self.idle, MAX_CANDIDATES)
+        for connection in chain(late_first, single_command, idle):
+            if not connection.ending() and not connection.has_unread_input():
+                return connection
+        return None
+
     def descriptors_used(self) -> int:
         """Return the descriptors in use; a reserve covers those of a few half-closed connections."""
         return len(self.connections) + len(self.setup_tasks) - min(LINGERING_ALLOWANCE, len(self.lingering))
