--- a/myrtlecourse/net/listener.py
+++ b/myrtlecourse/net/listener.py
@@ -11,7 +11,8 @@
 from itertools import chain, islice
 
 from myrtlecourse import interface as api
-from myrtlecourse.net.clients import AnswerSlot, ClientConnection
+from myrtlecourse.net.answer_slot import AnswerSlot
+from myrtlecourse.net.clients import ClientConnection
 from myrtlecourse.net.descriptors import DescriptorBudget
 from myrtlecourse.net.flow_control import StreamWindows, UploadMemory
 from myrtlecourse.net.hangup import HangUpMonitor
--- a/tests/test_net_hangup.py
+++ b/tests/test_net_hangup.py
@@ -9,7 +9,8 @@
 import pytest
 
 from myrtlecourse import interface as api
-from myrtlecourse.net import clients
+from myrtlecourse.net import answer_slot, clients
+from myrtlecourse.net.answer_slot import AnswerSlot
 from tests.loopback import (
     HIT,
     MISS,
@@ -109,7 +110,7 @@
             assert isinstance(await client.resp(), Exception)
             await until_unread(router)
             (connection,) = router.listener.connections
-            slot = clients.AnswerSlot(connection)
+            slot = AnswerSlot(connection)
             assert slot.client_connected()
             client.close()
             await until(lambda: not slot.client_connected())
@@ -123,7 +124,7 @@
     settings: api.Settings, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """In a long iteration of the event loop, a retry began although the hang-up lay in the socket."""
-    monkeypatch.setattr(clients, "RECENT_READ", 0.0)
+    monkeypatch.setattr(answer_slot, "RECENT_READ", 0.0)
 
     async def scenario() -> None:
         async with Router(settings) as router:
