Age commands that wait in the buffer or on a connection that is not read

Cause: ClientConnection.data_received measured how long bytes lay in the socket only by the lag of the event loop. The time in which the router itself did not read the connection, and that of whole commands in its own buffer, was counted nowhere.

Why this works: the age of a command is what its bytes waited in the socket and what it waited in the buffer since they were read. The kernel's figure was ruled out: it tells the age of the newest bytes, not of the oldest.

--- a/myrtlecourse/net/answer_slot.py
+++ b/myrtlecourse/net/answer_slot.py
@@ -32,7 +32,7 @@
 
     def __init__(self, connection: ClientConnection) -> None:
         self.connection = connection
-        self.arrived_at = connection.listener.loop.time() - connection.socket_wait
+        self.arrived_at = connection.listener.loop.time() - connection.command_age
         self.request_id: str | None = None
         self.answer: bytes | None = None
         self.source: Exchange | None = None  # the source of a streamed answer
--- a/myrtlecourse/net/clients.py
+++ b/myrtlecourse/net/clients.py
@@ -65,6 +65,8 @@
         self.slots: deque[AnswerSlot] = deque()
         self.command_count = 0  # complete commands that have arrived
         self.socket_wait = 0.0  # seconds for which the latest bytes lay in the socket
+        self.unread_since: float | None = None  # since when input may lie unread, on the event loop's clock
+        self.command_age = 0.0  # seconds from when the command in work could have been read until it was
         self.reading = True
         self.writable = True
         self.paused_after_error = False
@@ -88,15 +90,9 @@
             if self.discarded_bytes > MAX_DISCARDED:
                 self.abort(CloseReason.UNEXPECTED_BYTES)
             return
-        loop_lag = self.host.loop_lag
-        loop_lag.note_input()
+        self.host.loop_lag.note_input()
         self.last_data_at = self.listener.loop.time()
-        # the first bytes may have waited in the backlog, and any while the event loop was blocked
-        if not self.command_count or loop_lag.may_have_stalled():
-            age = data_age(self.socket)
-            self.socket_wait = loop_lag.max_wait() if age is None else age
-        else:
-            self.socket_wait = loop_lag.estimated_wait()
+        self.socket_wait = self._measure_socket_wait()
         self.listener.idle.pop(self, None)
         # a closing connection accepts nothing: its client's hang-up would go unnoticed
         accepts = self._may_process() and not self.transport.is_closing()
@@ -104,6 +100,7 @@
             parts = split_command(data)
             if parts is not None:
                 self.command_count += 1
+                self.command_age = self.socket_wait
                 try:
                     self._process_command(parts)
                 except Exception:
@@ -114,6 +111,25 @@
         self.reader.feed(data)
         self._process_buffer()
 
+    def _measure_socket_wait(self) -> float:
+        """Return the seconds for which the bytes that have just been read may have lain in the socket."""
+        loop_lag = self.host.loop_lag
+        # the first bytes may have waited in the backlog, and any while the event loop was blocked
+        if not self.command_count or loop_lag.may_have_stalled():
+            age = data_age(self.socket)
+            wait = loop_lag.max_wait() if age is None else age
+        else:
+            wait = loop_lag.estimated_wait()
+        if self.unread_since is not None:  # the connection was not read
+            wait = max(wait, self.last_data_at - self.unread_since)
+            self.unread_since = None
+        return wait
+
+    def on_unread_input(self, since: float) -> None:
+        """Remember since when input may lie unread: its commands age meanwhile."""
+        if self.unread_since is None:
+            self.unread_since = since
+
     def _process_buffer(self) -> None:
         try:
             # Commands that a client left in the buffer before it hung up are not executed: nobody waits for
@@ -129,6 +145,8 @@
         self.abort(CloseReason.INTERNAL_ERROR)
 
     def _process_whole_commands(self) -> None:
+        # commands may also have waited in the buffer
+        self.command_age = self.socket_wait + self.listener.loop.time() - self.last_data_at
         # a closing connection accepts nothing: its client's hang-up would go unnoticed
         while self._may_process() and not self.transport.is_closing():
             try:
@@ -187,7 +205,7 @@
     def _process_command(self, parts: Message | list[bytes]) -> None:
         refusal = None
         if isinstance(parts, list) and 4 <= len(parts) <= 5 and isinstance(info := parts[3], bytes):
-            refusal = self.host.refuse_early(info, self.socket_wait)
+            refusal = self.host.refuse_early(info, self.command_age)
             # This fast path exists because refusals take a saturated core's time from other requests, and
             # most of them are retried.
             if refusal is not None and not self.slots and self.reading and not self.no_more_commands:
@@ -208,7 +226,7 @@
         try:
             command = read_command(parts)
             slot.request_id = command.request_id.decode()
-            self.host.accept(command, slot, self.socket_wait)
+            self.host.accept(command, slot, self.command_age)
         except CommandError as e:
             slot.request_id = None
             # The connection is not read for a while: a client that sends errors at full speed would take the
--- a/myrtlecourse/net/hangup.py
+++ b/myrtlecourse/net/hangup.py
@@ -1,8 +1,9 @@
-"""Detects clients that hang up while their connection is not read.
+"""Watches the connections of clients that are not read: for hang-ups, and for since when input lies unread.
 
 The event loop reports the end of a connection only where it reads, and the end lies behind all unread bytes.
-A client that is not read (its pipeline is full, a long value waits for memory, it takes its answers slowly,
-or it has sent an error) could be gone for seconds, while attempts would begin for nobody.
+A client that is not read (its pipeline is full, a long value waits for memory, it takes its answers slowly, a
+long answer goes out to it, or it has sent an error) could be gone for seconds, while attempts would begin for
+nobody. A command that it sends meanwhile ages without being seen.
 """
 
 from __future__ import annotations
@@ -23,6 +24,9 @@
     def on_hang_up(self) -> None:
         """Handle that the client has closed the connection."""
 
+    def on_unread_input(self, since: float) -> None:
+        """Handle that input lies unread, which may have come at `since` on the event loop's clock."""
+
 
 def has_hung_up(descriptor: int) -> bool:
     """Return whether the other side has closed a connection, even behind unread bytes."""
@@ -41,13 +45,19 @@
         self.poller = select.poll()
         self.connections: dict[int, UnreadConnection] = {}  # the monitored connections, by descriptor
         self.timer: asyncio.TimerHandle | None = None
+        self.polled_at = 0.0  # on the event loop's clock
 
     def add(self, connection: UnreadConnection) -> None:
         """Monitor a connection that is no longer read."""
         self.connections[connection.descriptor] = connection
-        self.poller.register(connection.descriptor, select.POLLRDHUP)
+        self.poller.register(connection.descriptor, select.POLLRDHUP | select.POLLIN)
         if self.timer is None:
-            self.timer = asyncio.get_running_loop().call_later(POLL_INTERVAL, self._poll)
+            self._schedule_poll()
+
+    def _schedule_poll(self) -> None:
+        loop = asyncio.get_running_loop()
+        self.polled_at = loop.time()
+        self.timer = loop.call_later(POLL_INTERVAL, self._poll)
 
     def remove(self, connection: UnreadConnection) -> None:
         """Stop monitoring a connection that is read again or has ended, before its descriptor is closed."""
@@ -64,10 +74,15 @@
             found = []
         for descriptor, events in found:
             connection = self.connections.get(descriptor)
-            if connection is not None and events & HANG_UP_EVENTS:
+            if connection is None:
+                continue
+            if events & HANG_UP_EVENTS:
                 connection.on_hang_up()
+            else:
+                self.poller.modify(descriptor, select.POLLRDHUP)  # the first input is the oldest
+                connection.on_unread_input(self.polled_at)
         if self.connections:
-            self.timer = asyncio.get_running_loop().call_later(POLL_INTERVAL, self._poll)
+            self._schedule_poll()
 
     def close(self) -> None:
         """Stop polling."""
