Gather a long answer first if commands behind it were read, and read none while it goes out

Cause: the router took commands of a connection whose end might become the only way to tell that a long answer is not whole. AnswerSlot.abort_stream ends the connection, and at that moment nothing better can be done; the mistake is made when the answer begins to go out with requests read behind it, and when further commands are read meanwhile.

Why this works: an answer is passed on as it comes only if nothing behind its command was read, and then nothing is read until it has ended, so that an end of the connection takes no other request along. With requests behind it, it is gathered in reserved memory (half of the budget for long answers, one always fits, only an answer whose turn has come reserves), and an error takes its place if it breaks off, has not come by its deadline or gets no memory within 1 s. Ruled out: one command of a connection at a time, which makes each wait for all before it; asking another server for the rest, whose value may be another.

UploadMemory serves both directions now and is called ValueMemory.

--- a/myrtlecourse/net/clients.py
+++ b/myrtlecourse/net/clients.py
@@ -105,7 +105,7 @@
                     self._process_command(parts)
                 except Exception:
                     self._abort_on_fault()
-                self._update_reading()
+                self.update_reading()
                 self.listener.update_state(self)
                 return
         self.reader.feed(data)
@@ -159,7 +159,7 @@
                 break
             self.command_count += 1
             self._process_command(parts)
-        self._update_reading()
+        self.update_reading()
         self.listener.update_state(self)
 
     def _reserve_memory(self, announced_size: int) -> None:
@@ -183,7 +183,7 @@
         self.awaiting_reservation = False
         self.reserved_bytes = 2 * self.reader.announced_size
         self.last_data_at = asyncio.get_running_loop().time()  # the client could not send before
-        self._update_reading()
+        self.update_reading()
 
     def _refuse_unreserved(self) -> None:
         """Refuse a long value for which memory has not become free in time.
@@ -244,16 +244,12 @@
     def complete(self, slot: AnswerSlot, answer: bytes) -> None:
         """Set the answer of a slot and send all answers that are next in order."""
         slot.answer = answer
-        while self.slots:
-            first = self.slots[0]
-            if first.chunks:
-                self.flush(first)
-            if first.answer is None:
-                break
-            self.slots.popleft()
-            first.release()
-            if first.answer:
-                self.transport.write(first.answer)
+        self._send_answers()
+
+    def _send_answers(self) -> None:
+        """Send the answers that are next in order, as far as they are there and the client takes them."""
+        while self.slots and self.slots[0].advance():
+            self.slots.popleft().release()
         if not self.slots:
             self.listener.update_state(self)
         elif self.writable:
@@ -263,17 +259,15 @@
         elif not self.reading and not self.no_more_commands:
             self.listener.loop.call_soon(self._process_buffer)
 
-    def flush(self, slot: AnswerSlot) -> None:
-        """Send the received chunks of the streamed answer that is next in order."""
-        chunks, slot.chunks = slot.chunks, []
-        for chunk in chunks:
-            self.transport.write(chunk)
+    def has_read_behind(self, slot: AnswerSlot) -> bool:
+        """Return whether anything that the client sent after the command of a slot has been read."""
+        return self.slots[-1] is not slot or bool(self.reader.buffer)
 
     def close_with_error(self, error: str) -> None:
         """Answer with an error and close, as the beginning of the next command is unknown."""
         self.no_more_commands = True
         # Input that arrives until the earlier answers are sent is of no use, and would take memory.
-        self._update_reading()
+        self.update_reading()
         self.reader.buffer.clear()
         self._release_reservation()
         slot = AnswerSlot(self)
@@ -307,7 +301,7 @@
         except OSError:  # the client has just reset the connection
             self.transport.abort()
             return
-        self._update_reading()
+        self.update_reading()
         # a client that reads no answers, or does nothing, would otherwise hold its descriptor for ever
         self.listener.loop.call_later(LINGER_TIME, self.transport.abort)
 
@@ -346,10 +340,12 @@
         blocked = (
             self.no_more_commands or self.paused_after_error or self.awaiting_reservation or not self.writable
         )
-        return not blocked and len(self.slots) < MAX_PIPELINED
+        if blocked or len(self.slots) >= MAX_PIPELINED:
+            return False
+        return not (self.slots and self.slots[-1].holds_back_commands())
 
-    def _update_reading(self) -> None:
-        """Start or stop reading; a client that has too many unanswered commands is not read."""
+    def update_reading(self) -> None:
+        """Start or stop reading; a client whose commands can't be processed now is not read."""
         should_read = self.half_closed or self._may_process()
         if should_read != self.reading and not self.transport.is_closing():
             self.reading = should_read
@@ -362,14 +358,14 @@
 
     def pause_writing(self) -> None:
         self.writable = False
-        self._update_reading()
+        self.update_reading()
         if self.slots:
             self.slots[0].pause_source()
 
     def resume_writing(self) -> None:
         self.writable = True
         if self.slots:
-            self.slots[0].resume_source()
+            self._send_answers()
         self._process_buffer()
 
     def has_unread_input(self) -> bool:
--- a/myrtlecourse/net/connection.py
+++ b/myrtlecourse/net/connection.py
@@ -118,6 +118,12 @@
             self.open = False
             self.on_finished(status, value)
 
+    def reject(self) -> None:
+        """Give up a long answer for which there is no memory; says nothing of its server."""
+        if self.open:
+            self.abandon()
+            self.on_finished(Status.CANCELLED, b"")
+
     def abandon(self) -> None:
         """Stop waiting and close the connection.
 
--- a/myrtlecourse/net/flow_control.py
+++ b/myrtlecourse/net/flow_control.py
@@ -1,7 +1,8 @@
 """Limits the memory that long values take: a budget for the whole process in each direction.
 
 Streamed answers share their budget evenly. A peer that reads or sends slowly fills only its own window, which
-pauses the other side of its stream; no stream is aborted for lack of memory.
+pauses the other side of its stream; no stream is aborted for lack of memory. Answers that have to be gathered
+whole take what they need out of that budget, up to a part of it, and wait for it.
 """
 
 from __future__ import annotations
@@ -13,6 +14,7 @@
 MEMORY_SHARE = 1 / 5  # share of a process's memory that each direction may use
 MAX_WINDOW = 64 * 1024  # bytes of one stream in each of its two buffers; as much as is read at once
 MIN_WINDOW = 4 * 1024
+GATHERED_SHARE = 1 / 2  # share of the budget for answers that gathered ones may use
 
 
 class StreamWindows:
@@ -20,26 +22,33 @@
 
     def __init__(self, budget: int = DEFAULT_BUDGET) -> None:
         """Create windows that share `budget` bytes."""
-        self.budget = budget
         self.streams = 0
+        self.gathered = ValueMemory()  # for answers that are gathered before any of them is sent
+        self.set_budget(budget)
+
+    def set_budget(self, budget: int) -> None:
+        """Set the bytes that all streamed answers may take together."""
+        self.budget = budget
+        self.gathered.budget = int(budget * GATHERED_SHARE)
 
     def size(self) -> int:
         """Return the bytes that one stream may read ahead; its client's write buffer may hold as many."""
-        return max(MIN_WINDOW, min(MAX_WINDOW, self.budget // (2 * max(1, self.streams))))
+        shared = self.budget - self.gathered.reserved
+        return max(MIN_WINDOW, min(MAX_WINDOW, shared // (2 * max(1, self.streams))))
 
 
 class ReservationWaiter(Protocol):
-    """A client that announced a long value and is not read until memory for it is reserved."""
+    """What can't go on before memory for a long value is reserved."""
 
     def on_reserved(self) -> None:
         """Handle that the memory has been reserved."""
 
 
-class UploadMemory:
-    """The memory for long values that clients send; all of a value is reserved before it is read.
+class ValueMemory:
+    """The memory for long values that are held whole; all of a value is reserved before it is read.
 
-    Reservations are made in the order of the requests. A client that has sent half of a value has reserved
-    the other half, so that no client waits for memory that another one holds while it waits itself.
+    Reservations are made in the order of the requests. Who has half of a value has reserved the other half,
+    so that nobody waits for memory that another one holds while it waits itself.
     """
 
     def __init__(self, budget: int = DEFAULT_BUDGET) -> None:
@@ -48,12 +57,12 @@
         self.reserved = 0
         self.waiting: deque[tuple[ReservationWaiter, int]] = deque()
 
-    def reserve(self, client: ReservationWaiter, size: int) -> bool:
+    def reserve(self, waiter: ReservationWaiter, size: int) -> bool:
         """Reserve memory and return True, or return False and call `on_reserved` once it is reserved."""
         if not self.waiting and self._fits(size):
             self.reserved += size
             return True
-        self.waiting.append((client, size))
+        self.waiting.append((waiter, size))
         return False
 
     def _fits(self, size: int) -> bool:
@@ -64,13 +73,13 @@
         self.reserved -= size
         self._grant_waiting()
 
-    def stop_waiting(self, client: ReservationWaiter) -> None:
-        """Remove a client from the queue."""
-        self.waiting = deque(each for each in self.waiting if each[0] is not client)
-        self._grant_waiting()  # the client may have been ahead of others with smaller values
+    def stop_waiting(self, waiter: ReservationWaiter) -> None:
+        """Remove a waiter from the queue."""
+        self.waiting = deque(each for each in self.waiting if each[0] is not waiter)
+        self._grant_waiting()  # it may have been ahead of others with smaller values
 
     def _grant_waiting(self) -> None:
         while self.waiting and self._fits(self.waiting[0][1]):
-            client, size = self.waiting.popleft()
+            waiter, size = self.waiting.popleft()
             self.reserved += size
-            client.on_reserved()
+            waiter.on_reserved()
--- a/myrtlecourse/net/host.py
+++ b/myrtlecourse/net/host.py
@@ -355,6 +355,8 @@
         # A streamed answer whose first bytes were in time goes on as fast as its server sends and its client
         # reads, but only for a limited time.
         streaming = None if request.deadline_passed else request.streaming_attempt
+        if not request.answer_sink.may_continue_late():
+            streaming = None
         request.deadline_passed = True
         if streaming is not None:
             request.deadline_timer = self.timers.call_later(MAX_STREAM_OVERRUN, self._on_deadline, request_id)
--- a/myrtlecourse/net/in_flight.py
+++ b/myrtlecourse/net/in_flight.py
@@ -35,8 +35,11 @@
         """End the streamed value, all of which has been sent."""
 
     def abort_stream(self) -> None:
-        """End the streamed value before it is complete; the closed connection shows the client that it is
-        not."""
+        """End the streamed value before it is complete, by an error in its place if nothing of it has been
+        sent; otherwise the closed connection shows the client that it is incomplete."""
+
+    def may_continue_late(self) -> bool:
+        """Return whether a streamed answer that has begun may go on past its request's deadline."""
 
     def client_connected(self) -> bool:
         """Return whether the client is still connected; works even while its connection is not read."""
--- a/myrtlecourse/net/listener.py
+++ b/myrtlecourse/net/listener.py
@@ -14,7 +14,7 @@
 from myrtlecourse.net.answer_slot import AnswerSlot
 from myrtlecourse.net.clients import ClientConnection
 from myrtlecourse.net.descriptors import DescriptorBudget
-from myrtlecourse.net.flow_control import StreamWindows, UploadMemory
+from myrtlecourse.net.flow_control import StreamWindows, ValueMemory
 from myrtlecourse.net.hangup import HangUpMonitor
 from myrtlecourse.net.host import Host
 from myrtlecourse.net.rate_limited_log import RateLimitedLog
@@ -71,11 +71,11 @@
         budget: int,
         descriptors: DescriptorBudget | None = None,
         windows: StreamWindows | None = None,
-        upload_memory: UploadMemory | None = None,
+        upload_memory: ValueMemory | None = None,
     ) -> None:
         self.host = host
         self.windows = windows or StreamWindows()
-        self.upload_memory = upload_memory or UploadMemory()
+        self.upload_memory = upload_memory or ValueMemory()
         self.budget = budget
         self.descriptors = descriptors or DescriptorBudget(budget)
         self.descriptors.add(self)
--- a/myrtlecourse/service.py
+++ b/myrtlecourse/service.py
@@ -20,7 +20,7 @@
 from myrtlecourse.config import Config, ConfigError, read_file, read_reload
 from myrtlecourse.net.descriptors import DescriptorBudget
 from myrtlecourse.net.discovery import Discovery, WatchTimeouts
-from myrtlecourse.net.flow_control import MEMORY_SHARE, StreamWindows, UploadMemory
+from myrtlecourse.net.flow_control import MEMORY_SHARE, StreamWindows, ValueMemory
 from myrtlecourse.net.host import Host
 from myrtlecourse.net.listener import FRONT_REACTION_TIME, Listener
 from myrtlecourse.net.members import Member
@@ -84,7 +84,7 @@
         dial, idle = settings.dial_timeout, settings.connection_idle
         self.descriptors = descriptors = DescriptorBudget(available)
         longest = config.longest_answer
-        self.windows, self.upload_memory = StreamWindows(), UploadMemory()
+        self.windows, self.upload_memory = StreamWindows(), ValueMemory()
         windows = self.windows
         self.servers = Pool(CacheConnection, available * 3 // 8, dial, idle, longest, descriptors, windows)
         self.origin = Pool(OriginConnection, available // 8, dial, idle, longest, descriptors, windows)
@@ -316,9 +316,9 @@
                 self.claims.claim(descriptors.total)
             except OSError as e:
                 bounded.log(logging.ERROR, "the claim on descriptors can't be written: %s", e)
-        self.windows.budget = self.upload_memory.budget = int(
-            self.config.memory * MEMORY_SHARE / (1 + len(others))
-        )
+        memory = int(self.config.memory * MEMORY_SHARE / (1 + len(others)))
+        self.windows.set_budget(memory)
+        self.upload_memory.budget = memory
 
     # Reloads
 
--- a/tests/test_net_flow_control.py
+++ b/tests/test_net_flow_control.py
@@ -9,7 +9,7 @@
 from hypothesis import strategies as st
 
 from myrtlecourse.net import clients
-from myrtlecourse.net.flow_control import MAX_WINDOW, MIN_WINDOW, StreamWindows, UploadMemory
+from myrtlecourse.net.flow_control import MAX_WINDOW, MIN_WINDOW, StreamWindows, ValueMemory
 from tests.loopback import Router, book, command, http, needs_sources, run
 
 
@@ -31,7 +31,7 @@
 
 @given(st.lists(st.tuples(st.integers(1, 80), st.booleans()), max_size=30))
 def test_room_is_given_in_order_and_never_twice(asked: list[tuple[int, bool]]) -> None:
-    memory = UploadMemory(100)
+    memory = ValueMemory(100)
     waiting: list[tuple[Client, int]] = []
     held: list[int] = []
     for size, end in asked:
@@ -51,7 +51,7 @@
 
 
 def test_who_gives_up_lets_those_behind_go_on() -> None:
-    memory, big, small = UploadMemory(100), Client(), Client()
+    memory, big, small = ValueMemory(100), Client(), Client()
     assert memory.reserve(Client(), 60)
     assert not memory.reserve(big, 80) and not memory.reserve(small, 30)
     memory.stop_waiting(big)
