End a connection for a long answer that is not read only if its turn has come

What callers would see: all requests of a connection lost when a long answer had to wait for 10 s behind others, as behind another long one that a slow client takes.

Why this works: only the first answer of a connection tells whether its client reads; its time counts from its turn (AnswerSlot._begin_sending takes the older entry out).

--- a/myrtlecourse/net/listener.py
+++ b/myrtlecourse/net/listener.py
@@ -269,8 +269,10 @@
             for slot, since in list(self.stalled_answers.items()):
                 if now - since < STALLED_ANSWER_TIMEOUT:
                     break
-                # If the client no longer exists, this frees the server's connection and the memory.
-                slot.connection.abort(CloseReason.ANSWER_NOT_READ)
+                # If the client no longer exists, this frees the server's connection and the memory. An answer
+                # behind others says nothing of the client.
+                if slot.is_first():
+                    slot.connection.abort(CloseReason.ANSWER_NOT_READ)
             surplus = len(self.connections) - len(self.lingering) - self.budget // 2
             for connection, since in list(self.idle.items()):
                 if surplus <= 0:
--- a/tests/test_net_pipelining.py
+++ b/tests/test_net_pipelining.py
@@ -246,3 +246,22 @@
                 assert router.listener.windows.gathered.reserved == 0
 
     run(scenario)
+
+
+# Guards against a connection with open requests that ends because a long answer waits behind others.
+@needs_sources
+def test_a_long_answer_that_waits_behind_others_ends_no_connection(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        monkeypatch.setattr(listener, "STALLED_ANSWER_TIMEOUT", 0.2)
+        async with Router() as router:
+            client = await router.client()
+            client.write(read("r1", "short") + read("r2", "long"))
+            links = await caches_of(router, 2)
+            links[b"r2"].write(LONG)
+            await until(lambda: bool(router.listener.stalled_answers))
+            await asyncio.sleep(1.0)  # several times the limit
+            links[b"r1"].write(HIT)
+            assert await client.resp() == b"value"
+            assert await client.resp() == VALUE
+
+    run(scenario)
