Give up a dial only while its connection is not up, so that no closed one stays in use

Beside it, found here: answers that came only at the deadline, and late.

Cause: Pool._dial limited create_connection with asyncio.timeout. When the loop turns again after a stop, a dial can have come up and its time be over in one iteration: connection_made enters the connection in the pool and writes the waiting request, then the cancellation arrives and create_connection closes the transport. uvloop closes it without connection_lost, and is_closing stays false. So it stays idle in the pool and the next write to it raises, or carries a request that ends at its deadline.

Ruled out: a close by the server (is_closing is true then), a drop by the pool.

Why this works: a dial is given up only while its connection has not been told of a transport, and one that is told later aborts it at once. One that is up is never cancelled; its dial ends by itself. Pool.close gives up its dials in the same way, and the count of a dial that never began is taken back.

--- a/myrtlecourse/net/connection.py
+++ b/myrtlecourse/net/connection.py
@@ -159,6 +159,7 @@
         self.server_process: object = None  # the process connected to; another one may take over the address
         self.first_exchange: Exchange | None = None  # the one for which the connection was dialled
         self.connected = False
+        self.dial_given_up = False  # its transport is closed as soon as there is one
         self.answer_timer: asyncio.TimerHandle | None = None  # limits the time of an answer that has begun
         self.idle_since = time.monotonic()  # when it was made, or its last answer was complete
         # length of the long value that is being received, or 0; `decode` sets it and appends to `chunks`
@@ -193,6 +194,9 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(Transport, transport)
+        if self.dial_given_up:
+            self.transport.abort()
+            return
         # With a limit of 0, `resume_writing` is called when the last byte has been passed to the kernel.
         self.transport.set_write_buffer_limits(high=0)
         self.connected = True
--- a/myrtlecourse/net/pool.py
+++ b/myrtlecourse/net/pool.py
@@ -13,6 +13,7 @@
 from myrtlecourse.net.command import Command
 from myrtlecourse.net.connection import AnswerReceiver, Connection, Exchange
 from myrtlecourse.net.descriptors import DescriptorBudget
+from myrtlecourse.net.dial import give_up, open_in_time
 from myrtlecourse.net.flow_control import StreamWindows
 from myrtlecourse.net.request_log import CloseReason
 from myrtlecourse.net.reuse_delay import ReuseDelay
@@ -53,7 +54,7 @@
         self.descriptors = descriptors or DescriptorBudget(budget)
         self.descriptors.add(self)
         self.connections: set[Connection] = set()
-        self.dials: set[asyncio.Task[None]] = set()
+        self.dials: dict[asyncio.Task[None], Connection] = {}
         self.dial_counts: dict[str, int] = {}  # by address: the number of dials that have not connected yet
         # by address: the exchanges that wait for a connection, each with the server process it is for
         self.wait_queues: dict[str, deque[tuple[object, Exchange]]] = {}
@@ -158,10 +159,13 @@
             # server is not to blame, hence NOT_SENT.
             exchange.finish(Status.NOT_SENT)
             return
-        dial = asyncio.create_task(self._dial(address, process, exchange))
+        connection = self.make_connection(self, address)
+        connection.server_process = process
+        connection.first_exchange = exchange
         self.dial_counts[address] = self.dial_counts.get(address, 0) + 1
-        self.dials.add(dial)
-        dial.add_done_callback(self.dials.discard)
+        dial = asyncio.create_task(self._dial(connection, exchange))
+        self.dials[dial] = connection
+        dial.add_done_callback(self._on_dial_done)
 
     def dial_ended(self, address: str) -> None:
         """Handle that a dial has succeeded or failed, and start exchanges that wait."""
@@ -191,15 +195,10 @@
         while (waiting := self._next_waiting(address)) is not None:
             waiting[1].finish(status)
 
-    async def _dial(self, address: str, process: object, exchange: Exchange) -> None:
-        connection = self.make_connection(self, address)
-        connection.server_process = process
-        connection.first_exchange = exchange
+    async def _dial(self, connection: Connection, exchange: Exchange) -> None:
+        address = connection.address
         try:
-            async with asyncio.timeout(self.dial_timeout):
-                await asyncio.get_running_loop().create_connection(
-                    lambda: connection, *parse_address(address)
-                )
+            await open_in_time(connection, connection, parse_address(address), self.dial_timeout)
         except OSError as e:  # including a timeout
             # Once connected, the request may have been sent, and the end of the connection decides its
             # outcome.
@@ -208,9 +207,11 @@
                 if address not in self.idle_by_address:
                     self._fail_waiting(address, status)
                 exchange.finish(status)
-        finally:
-            if not connection.connected:
-                self.dial_ended(address)
+
+    def _on_dial_done(self, dial: asyncio.Task[None]) -> None:
+        connection = self.dials.pop(dial)
+        if not connection.connected:
+            self.dial_ended(connection.address)
 
     def _reusable_at(self, connection: Connection, now: float) -> float:
         """Return when an idle connection may carry another request; it may at once if it carried none."""
@@ -312,5 +313,7 @@
         self.wait_queues.clear()
         for connection in list(self.connections):
             connection.drop(CloseReason.ENDING)
-        for dial in self.dials:
-            dial.cancel()
+        for dial, connection in list(self.dials.items()):
+            if connection.first_exchange is not None:
+                connection.first_exchange.abandon()
+            give_up(connection, dial)
