Let an error in an attempt at a server end that attempt, not a client's connection

Cause: a request is taken, decided on and sent to a server in one call from ClientConnection.data_received, which takes any error on the way for a fault of its own connection and aborts that. Host.post also drops the other actions of the event, which may be for other requests.

Why this works: an error of the write ends the server's connection and the attempt, with the outcome "may have run", so that nothing is repeated that must not be; the decision module goes on from there. An error in one action is logged, the other actions are carried out, and the action's request ends at its deadline.

--- a/myrtlecourse/net/connection.py
+++ b/myrtlecourse/net/connection.py
@@ -243,7 +243,15 @@
         exchange.connection = self
         self.exchange = exchange
         self.written = False
-        self.transport.write(data)
+        try:
+            self.transport.write(data)
+        except Exception:
+            # It may end this attempt, but not the client's connection in whose callback it was started.
+            log.exception("could not write a request to %s", self.address)
+            self.exchange = None
+            self.drop(CloseReason.INTERNAL_ERROR)
+            exchange.finish(Status.RESET)
+            return True
         # `write` also returns if bytes were buffered or the write failed. Only a request of which the last
         # byte has been written may have been executed, and must not be sent again as if it had not been.
         self.written = not self.transport.is_closing() and not self.transport.get_write_buffer_size()
--- a/myrtlecourse/net/host.py
+++ b/myrtlecourse/net/host.py
@@ -89,11 +89,9 @@
             return
         self.handling = True
         try:
-            for action in self.router.handle(self.clock.now(), event):
-                self._carry_out(action)
+            self._handle(event)
             while self.pending_events:
-                for action in self.router.handle(self.clock.now(), self.pending_events.popleft()):
-                    self._carry_out(action)
+                self._handle(self.pending_events.popleft())
         finally:
             self.handling = False
             # Ended requests are removed only now: the module may still ask for an attempt of a request that
@@ -102,6 +100,14 @@
                 self._remove_ended(request_id)
             self.ended_requests.clear()
 
+    def _handle(self, event: api.Event) -> None:
+        for action in self.router.handle(self.clock.now(), event):
+            try:
+                self._carry_out(action)
+            except Exception:
+                # The other actions may be for other requests; this one's request ends at its deadline.
+                log.exception("could not carry out an action")
+
     def _carry_out(self, action: api.Action) -> None:
         match action:
             case api.Send():
--- a/tests/test_net_errors.py
+++ b/tests/test_net_errors.py
@@ -16,7 +16,17 @@
 from myrtlecourse.net.listener import SINGLE_CLIENT_ERRORS
 from myrtlecourse.net.pool import LOCAL_SHORTAGE_ERRORS
 from myrtlecourse.net.request_log import requests_log
-from tests.loopback import HIT, Router, command, format_address, read, run
+from myrtlecourse.net.transport import Transport
+from tests.loopback import (
+    HIT,
+    Router,
+    age_idle_connections,
+    command,
+    format_address,
+    needs_sources,
+    read,
+    run,
+)
 
 SHORTAGES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 CONNECT_ERRORS = (errno.ECONNREFUSED, errno.ENETUNREACH, errno.EHOSTUNREACH, errno.ETIMEDOUT, errno.EACCES)
@@ -183,3 +193,61 @@
     status = api.Status.NOT_SENT if own else api.Status.CONNECT_FAILED
     ends = [r.getMessage() for r in caplog.records if "event=ended" in r.getMessage()]
     assert f"no=0 status={status.value}" in ends[0]
+
+
+class BrokenTransport:
+    """A transport that raises an error at each write, as one does whose handle is closed."""
+
+    def __init__(self, transport: Transport) -> None:
+        self.transport = transport
+
+    def write(self, data: bytes) -> None:
+        raise RuntimeError("the handler is closed")
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.transport, name)
+
+
+# Guards against a client's connection that is closed because a write to a server raised an error.
+def test_an_error_in_a_write_to_a_server_ends_its_attempt_alone() -> None:
+    async def scenario() -> None:
+        async with Router() as router:
+            client, cache = await router.open_request("r1")
+            cache.write(HIT)
+            assert await client.resp() == b"value"
+            age_idle_connections(router.servers)
+            (idle,) = router.servers.idle
+            broken: Any = BrokenTransport(idle.transport)
+            idle.transport = broken
+            client.write(command("PING") + read("r2"))
+            retry = await router.cache()
+            assert (await retry.resp())[2] == b"r2"
+            retry.write(HIT)
+            assert [await client.resp() for _ in range(2)] == [b"PONG", b"value"]
+            assert idle not in router.servers.connections
+
+    run(scenario)
+
+
+# Guards against requests that are lost because an action for another request raised an error.
+@needs_sources
+def test_an_error_in_one_action_ends_no_connection(monkeypatch: pytest.MonkeyPatch) -> None:
+    async def scenario() -> None:
+        async with Router() as router:
+            start = router.servers.start_attempt
+
+            def fail_once(*arguments: Any) -> Any:
+                monkeypatch.setattr(router.servers, "start_attempt", start)
+                raise RuntimeError("an internal error")
+
+            monkeypatch.setattr(router.servers, "start_attempt", fail_once)
+            client = await router.client()
+            client.write(read("r1", info="c=read,t=x,d=500") + read("r2"))
+            cache = await router.cache()
+            assert (await cache.resp())[2] == b"r2"
+            cache.write(HIT)
+            assert isinstance(await client.resp(), Exception)  # at its deadline
+            assert await client.resp() == b"value"
+            assert not router.host.requests
+
+    run(scenario)
