Count a late dial of the load generator once

What one would see: a load generator that dials more connections than it may.

Cause: ClientPool limits its dials as the router's pool did, by a cancellation that closes a connection which has just come up; the dial counts as failed, and the end of the connection is counted again.

Why this works: the dial is limited by net/dial.py, and a connection that is told of its transport after it was given up aborts it and is not counted.

--- a/myrtlecourse/load/client.py
+++ b/myrtlecourse/load/client.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 from typing import cast
 
+from myrtlecourse.net.dial import open_in_time
 from myrtlecourse.net.resp import INCOMPLETE, Message, Reader, RespError
 
 MAX_ANSWER = 16 * 1024 * 1024  # bytes; an answer that announces more is rejected before it is read
@@ -31,9 +32,15 @@
         self.on_reply: ReplyCallback | None = None
         self.reused = False  # whether the connection has carried an answer
         self.last_request = ""  # the id of the last request on this connection
+        self.connected = False
+        self.dial_given_up = False  # its transport is closed as soon as there is one
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
+        if self.dial_given_up:
+            self.transport.abort()
+            return
+        self.connected = True
 
     def send(self, data: bytes, on_reply: ReplyCallback) -> None:
         """Send a command; `on_reply` is called once, with the answer or the error."""
@@ -69,6 +76,8 @@
             on_reply(message, reused)
 
     def connection_lost(self, exc: Exception | None) -> None:
+        if self.dial_given_up:
+            return  # the pool has counted it as failed
         self.pool.on_closed(self)
         self._end(ConnectionBroken("the connection was closed"))
 
@@ -166,10 +175,9 @@
             dial.add_done_callback(self.dials.discard)
 
     async def _dial(self) -> None:
-        loop = asyncio.get_running_loop()
+        connection = ClientConnection(self)
         try:
-            async with asyncio.timeout(DIAL_TIMEOUT):
-                _, connection = await loop.create_connection(lambda: ClientConnection(self), *self.address)
+            await open_in_time(connection, connection, self.address, DIAL_TIMEOUT)
         except OSError as e:  # includes TimeoutError
             self.open -= 1
             if e.errno in (errno.EMFILE, errno.ENFILE) and self.open:
--- a/tests/test_load_generator.py
+++ b/tests/test_load_generator.py
@@ -16,12 +16,14 @@
 
 import pytest
 
+from myrtlecourse.load import client as load_client
 from myrtlecourse.load.generator import Generator
 from myrtlecourse.load.page import page
 from myrtlecourse.load.profile import Clients, Piece, Profile, RequestClass
 from myrtlecourse.load.requests import plan_requests
+from myrtlecourse.net.pool import parse_address
 from myrtlecourse.net.resp import INCOMPLETE, Reader
-from tests.loopback import run
+from tests.loopback import Peer, run, until
 from tests.virtual_time import VirtualTimeLoop
 
 VALUE = b"$5\r\nvalue\r\n"
@@ -431,3 +433,24 @@
         assert figures["served"] == figures["scheduled"] > 0 and figures["latency_ms"]["max"] < 5000
 
     run(scenario, VirtualTimeLoop)
+
+
+# Guards against a load generator that dials more than it may, as it counts a late connection twice.
+@pytest.mark.parametrize("iterations", range(4))
+def test_a_late_dial_of_the_load_generator_counts_once(
+    iterations: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    async def scenario() -> None:
+        monkeypatch.setattr(load_client, "DIAL_TIMEOUT", 0.1)  # seconds
+        async with Peer() as peer:
+            pool = load_client.ClientPool(parse_address(peer.address), 4)
+            pool.submit("r1", b"PING", lambda *_: None)
+            for _ in range(iterations):
+                await asyncio.sleep(0)
+            time.sleep(0.2)
+            await until(lambda: not pool.dials)
+            await asyncio.sleep(0.1)
+            assert pool.open in (0, 1)
+            pool.close()
+
+    run(scenario)
