Count a stop for input that is read after the heartbeat that was overdue

What callers saw: after a router had stood still, attempts were made for clients that had left meanwhile, 0.13 s after their end (over 0.1 s is a lost request), with 0.3 s more than they had left.

Cause: LoopLag knows of a stop by its overdue heartbeat and forgot it as soon as that ran. When a process goes on, timers may fire before sockets are read; what arrived during the stop then counted as just come, and the kernel was not asked, neither for its age nor for a hang-up.

Why this works: for 0.1 s after an overdue heartbeat the loop counts as one that may have stalled, so that the kernel is asked; where it does not tell, input counts from the beginning of the stop.

--- a/myrtlecourse/net/loop_lag.py
+++ b/myrtlecourse/net/loop_lag.py
@@ -13,6 +13,7 @@
 
 # seconds; after a longer iteration the kernel is asked how long commands lay in their sockets
 LONG_ITERATION = 0.005
+RECOVERY_TIME = 0.1  # seconds after a stall in which input that arrived during it may still be read
 
 
 class LoopLag:
@@ -24,6 +25,8 @@
         self.longest = 0.0  # seconds
         self.in_iteration = False
         self.heartbeat_due_at = math.inf
+        self.last_stall = 0.0  # seconds
+        self.stall_ended_at = -math.inf
         self.loop: asyncio.AbstractEventLoop | None = None
 
     def note_input(self) -> None:
@@ -46,18 +49,30 @@
 
     def heartbeat(self) -> float:
         """Record an announced heartbeat and return by how many seconds it is late."""
-        late = max(0.0, time.monotonic() - self.heartbeat_due_at)
+        now = time.monotonic()
+        late = max(0.0, now - self.heartbeat_due_at)
         self.heartbeat_due_at = math.inf
         self.longest = max(self.longest, late)
+        if late > LONG_ITERATION:
+            self.last_stall = late
+            self.stall_ended_at = now
         return late
 
     def may_have_stalled(self) -> bool:
-        """Return whether input may have lain unread: the loop was busy for long, or the process stopped."""
+        """Return whether input may have lain unread: the loop was busy for long, or the process stopped.
+
+        After a stop timers may fire before the input that arrived meanwhile is read.
+        """
+        now = time.monotonic()
         return (
             self.previous_duration > LONG_ITERATION
-            or time.monotonic() - self.heartbeat_due_at > LONG_ITERATION
+            or now - self.heartbeat_due_at > LONG_ITERATION
+            or self._is_recovering(now)
         )
 
+    def _is_recovering(self, now: float) -> bool:
+        return now - self.stall_ended_at < RECOVERY_TIME
+
     def max_wait(self) -> float:
         """Return the longest time in seconds that the current input may have waited, as far as is known.
 
@@ -70,7 +85,8 @@
             if self.in_iteration
             else self.previous_duration
         )
-        return max(0.0, iterations, now - self.heartbeat_due_at)
+        stall = now - self.stall_ended_at + self.last_stall if self._is_recovering(now) else 0.0
+        return max(stall, iterations, now - self.heartbeat_due_at)
 
     def estimated_wait(self) -> float:
         """Return the likely time in seconds that the current input has waited.
