Draw clients that leave after unusable commands, and repeated stops, in the soak

A crowd of the stand-in fleet may have clients that send commands of an unknown class, leave at once and come again (crowd.leaving), and a router may be stopped several times (stall.times, stall.pause). The soak draws each in four of ten cases, from numbers of their own, so that the other faults of a seed stay.

--- a/myrtlecourse/fleet/faults.py
+++ b/myrtlecourse/fleet/faults.py
@@ -122,8 +122,9 @@
         target = holder_target(fault.holder, number)
     match fault:
         case scenarios.Stall():
-            stall = Step(fault.at, "stall", target, 0.0, fault.seconds)
-            return [stall, Step(fault.at + fault.seconds, "go_on", target)]
+            begins = [fault.at + i * (fault.seconds + fault.pause) for i in range(fault.times)]
+            stops = [Step(at, "stall", target, 0.0, fault.seconds) for at in begins]
+            return stops + [Step(at + fault.seconds, "go_on", target) for at in begins]
         case scenarios.Upgrade():
             return [Step(fault.at, "upgrade", target)]
         case scenarios.Restart():
@@ -136,8 +137,8 @@
     if isinstance(fault, scenarios.Reload):
         return [Step(fault.at + i * fault.pause, "reload", target) for i in range(fault.times)]
     silent = round(fault.clients * (1 - fault.begun))
-    crowd = Step(fault.at, "crowd", target, float(silent), fault.seconds)
-    return [crowd, Step(fault.at, "crowd_begun", target, float(fault.clients - silent), fault.seconds)]
+    counts = {"crowd": silent, "crowd_begun": fault.clients - silent, "crowd_leaving": fault.leaving}
+    return [Step(fault.at, action, target, float(n), fault.seconds) for action, n in counts.items()]
 
 
 def _target_servers(scenario: scenarios.Scenario, fault: scenarios.Silence | scenarios.Crash) -> list[str]:
--- a/myrtlecourse/fleet/routers.py
+++ b/myrtlecourse/fleet/routers.py
@@ -27,6 +27,10 @@
 LONGEST_DEADLINE = 3.0  # seconds; longer deadlines don't delay the end of a router (PROTOCOL)
 KILL_GRACE = 0.7  # seconds from SIGTERM to SIGKILL in addition to the longest deadline
 PARTIAL_COMMAND = b"*4\r\n$5\r\nC.GET\r\n$3\r\nke"
+# a read of a class that no settings name; clients that leave send several at once
+UNUSABLE_COMMAND = b"*4\r\n$5\r\nC.GET\r\n$1\r\nk\r\n$2\r\nid\r\n$7\r\nc=,d=99\r\n"
+UNUSABLE_AT_ONCE = 20
+RETURN_PAUSE = 0.02  # seconds until a client that has left connects again
 LISTENING = b"listening on "
 TAKES_CALLS = b"operators call "
 CALL_TIME = 1.0  # seconds in which a call must be answered
@@ -196,6 +200,20 @@
         connections = [self._idle_client(begun, seconds) for _ in range(clients)]
         await asyncio.gather(*connections, return_exceptions=True)
 
+    async def open_leaving_clients(self, clients: int, seconds: float) -> None:
+        """Have clients connect, send unusable commands, leave at once and come again, for `seconds`."""
+        end = time.monotonic() + seconds
+        await asyncio.gather(*(self._leaving_client(end) for _ in range(clients)))
+
+    async def _leaving_client(self, end: float) -> None:
+        while time.monotonic() < end:
+            with suppress(OSError):
+                async with asyncio.timeout(max(0.0, end - time.monotonic())):
+                    _, writer = await asyncio.open_connection(*self.address)
+                    writer.write(UNUSABLE_COMMAND * UNUSABLE_AT_ONCE)
+                    writer.close()
+            await asyncio.sleep(RETURN_PAUSE)
+
     async def _idle_client(self, begun: bool, seconds: float) -> None:
         async with asyncio.timeout(seconds):
             reader, writer = await asyncio.open_connection(*self.address)
@@ -284,6 +302,9 @@
         if step.action == "reload":
             router.reload()
             return
+        if step.action == "crowd_leaving":
+            self.run_in_background(router.open_leaving_clients(round(step.value), step.duration))
+            return
         if step.action in ("crowd", "crowd_begun"):
             self.run_in_background(
                 router.open_idle_clients(round(step.value), step.action == "crowd_begun", step.duration)
--- a/myrtlecourse/fleet/scenario.py
+++ b/myrtlecourse/fleet/scenario.py
@@ -246,6 +246,8 @@
     seconds: Positive
     router: Annotated[int, Meta(ge=0)] | None = None  # by number, or
     holder: str | None = None  # the holder of this duty when the fault begins
+    times: Annotated[int, Meta(ge=1, le=100)] = 1
+    pause: Time = 0.1  # seconds between the end of a stop and the next
 
 
 class Reload(Struct, forbid_unknown_fields=True, frozen=True, tag="reload", tag_field="what"):
@@ -258,13 +260,17 @@
 
 
 class Crowd(Struct, forbid_unknown_fields=True, frozen=True, tag="crowd", tag_field="what"):
-    """Clients connect to a router all at once, send nothing or half a command, and stay for a while."""
+    """Clients connect to a router all at once, send nothing or half a command, and stay for a while.
+
+    Beside them, others send commands of an unknown class, leave at once and come again.
+    """
 
     at: Time
     seconds: Positive
     router: Annotated[int, Meta(ge=0)]
     clients: Annotated[int, Meta(ge=1, le=5000)] = 200
     begun: Share = 0.5  # share of the clients that send half a command
+    leaving: Annotated[int, Meta(ge=0, le=100)] = 0  # clients that send unusable commands and leave
 
 
 class Split(Struct, forbid_unknown_fields=True, frozen=True, tag="split", tag_field="what"):
--- a/myrtlecourse/soak/cases.py
+++ b/myrtlecourse/soak/cases.py
@@ -17,9 +17,11 @@
 
 ANSWER_SLACK = 0.5  # seconds by which an answer may exceed its deadline before it counts as late
 MARGIN = 1.5  # seconds before the first fault, and after the end of the last one
-MAX_DRAWN_FAULTS = 8  # besides second answers
-MAX_FAULTS = MAX_DRAWN_FAULTS + 1
-SECOND_ANSWERS_SHARE = 0.4  # share of the cases in which servers send second answers
+MAX_DRAWN_FAULTS = 8  # besides those below, each of which a share of the cases has
+MAX_FAULTS = MAX_DRAWN_FAULTS + 3
+SECOND_ANSWERS_SHARE = 0.4  # servers send second answers
+LEAVING_CLIENTS_SHARE = 0.4  # clients send unusable commands and leave while others fill a router
+STOPS_SHARE = 0.4  # a router is stopped again and again
 SERVER_COUNTS = (4, 12, 40, 120)  # numbers of cache servers
 
 
@@ -67,7 +69,8 @@
         self.deadline = rng.choice([0.4, 0.8, 1.5, 2.5])
         self.window = rng.choice([1.5, 4.0, 15.0])
         self.drain = rng.uniform(2.6, 4.0)
-        faults = sorted([*self._faults(), *self._second_answers()], key=lambda f: f.at)
+        added = [*self._second_answers(), *self._leaving_clients(), *self._stops()]
+        faults = sorted([*self._faults(), *added], key=lambda f: f.at)
         scenario = fleet.Scenario(
             seconds=self.seconds,
             seed=self.seed,
@@ -182,6 +185,27 @@
         at = rng.uniform(MARGIN, max(MARGIN, self.seconds - MARGIN - 2.0))
         return [fleet.SecondAnswers(at, rng.uniform(1.0, self.seconds / 2), share=rng.uniform(0.2, 0.6))]
 
+    def _leaving_clients(self) -> list[fleet.Fault]:
+        """Draw a crowd with clients that leave, from numbers of its own."""
+        rng = random.Random(f"{self.seed} leaving clients")
+        if rng.random() >= LEAVING_CLIENTS_SHARE:
+            return []
+        seconds = rng.uniform(1.0, min(3.0, self.seconds / 2))
+        at = rng.uniform(MARGIN, max(MARGIN, self.seconds - MARGIN - seconds))
+        router = rng.randrange(self.routers)
+        return [fleet.Crowd(at, seconds, router, clients=rng.choice([600, 1200]), leaving=rng.randint(5, 20))]
+
+    def _stops(self) -> list[fleet.Fault]:
+        """Draw a router that is held up again and again, for about the time limit of its dials."""
+        rng = random.Random(f"{self.seed} stops")
+        if rng.random() >= STOPS_SHARE:
+            return []
+        times, pause = rng.randint(3, 8), rng.uniform(0.05, 0.2)
+        seconds = rng.uniform(0.2, 0.35)
+        longest = times * (seconds + pause)
+        at = rng.uniform(MARGIN, max(MARGIN, self.seconds - MARGIN - longest))
+        return [fleet.Stall(at, seconds, rng.randrange(self.routers), times=times, pause=pause)]
+
     def _time(self, reserve: float = 0.0) -> float:
         return self.rng.uniform(MARGIN, max(MARGIN, self.seconds - MARGIN - reserve))
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -76,6 +76,12 @@
     assert min(found.values()) > 20
 
 
+def test_clients_that_leave_and_repeated_stops_are_drawn() -> None:
+    faults = [fault for seed in range(200) for fault in draw_case(seed, 14.0).scenario.faults]
+    assert sum(isinstance(f, fleet.Crowd) and f.leaving > 0 for f in faults) > 20
+    assert sum(isinstance(f, fleet.Stall) and f.times > 1 for f in faults) > 20
+
+
 @pytest.fixture(scope="module")
 def library(tmp_path_factory: pytest.TempPathFactory) -> Path:
     return compile_library(tmp_path_factory.mktemp("library"))
