--- a/myrtlecourse/net/answer_slot.py
+++ b/myrtlecourse/net/answer_slot.py
@@ -11,7 +11,7 @@
 from enum import Enum, auto
 from typing import TYPE_CHECKING
 
-from myrtlecourse.net.connection import Exchange
+from myrtlecourse.net.exchange import Exchange
 from myrtlecourse.net.host import FAILED_ANSWER
 from myrtlecourse.net.request_log import CloseReason
 
--- a/myrtlecourse/net/host.py
+++ b/myrtlecourse/net/host.py
@@ -16,7 +16,7 @@
 from myrtlecourse import interface as api
 from myrtlecourse.net.clock import Clock
 from myrtlecourse.net.command import Command, CommandError
-from myrtlecourse.net.connection import Exchange
+from myrtlecourse.net.exchange import Exchange
 from myrtlecourse.net.in_flight import AnswerSink, Attempt, RequestInFlight
 from myrtlecourse.net.list_updates import ListUpdate, ListUpdateQueue
 from myrtlecourse.net.loop_lag import LoopLag
--- a/myrtlecourse/net/in_flight.py
+++ b/myrtlecourse/net/in_flight.py
@@ -11,7 +11,7 @@
 
 from myrtlecourse import interface as api
 from myrtlecourse.net.command import Command
-from myrtlecourse.net.connection import Exchange
+from myrtlecourse.net.exchange import Exchange
 from myrtlecourse.net.timers import Timer
 
 if TYPE_CHECKING:
--- a/myrtlecourse/net/pool.py
+++ b/myrtlecourse/net/pool.py
@@ -11,9 +11,10 @@
 
 from myrtlecourse.interface import Status
 from myrtlecourse.net.command import Command
-from myrtlecourse.net.connection import AnswerReceiver, Connection, Exchange
+from myrtlecourse.net.connection import Connection
 from myrtlecourse.net.descriptors import DescriptorBudget
 from myrtlecourse.net.dial import give_up, open_in_time
+from myrtlecourse.net.exchange import AnswerReceiver, Exchange
 from myrtlecourse.net.flow_control import StreamWindows
 from myrtlecourse.net.request_log import CloseReason
 from myrtlecourse.net.reuse_delay import ReuseDelay
--- a/tests/test_net_dials.py
+++ b/tests/test_net_dials.py
@@ -11,7 +11,7 @@
 
 from myrtlecourse.interface import Status
 from myrtlecourse.net.command import Command
-from myrtlecourse.net.connection import Exchange
+from myrtlecourse.net.exchange import Exchange
 from myrtlecourse.net.pool import Pool
 from myrtlecourse.net.servers import CacheConnection
 from tests.loopback import HIT, Link, Peer, age_idle_connections, run, until
--- a/tests/test_net_pool.py
+++ b/tests/test_net_pool.py
@@ -12,8 +12,9 @@
 from myrtlecourse.net import connection as connections
 from myrtlecourse.net import pool as pools
 from myrtlecourse.net.command import Command
-from myrtlecourse.net.connection import Connection, Exchange
+from myrtlecourse.net.connection import Connection
 from myrtlecourse.net.descriptors import DescriptorBudget
+from myrtlecourse.net.exchange import Exchange
 from myrtlecourse.net.origin import OriginConnection
 from myrtlecourse.net.pool import Pool
 from myrtlecourse.net.servers import CacheConnection
--- a/tests/test_net_reuse.py
+++ b/tests/test_net_reuse.py
@@ -10,7 +10,8 @@
 
 from myrtlecourse.interface import Status
 from myrtlecourse.net.command import Command
-from myrtlecourse.net.connection import Connection, Exchange
+from myrtlecourse.net.connection import Connection
+from myrtlecourse.net.exchange import Exchange
 from myrtlecourse.net.origin import OriginConnection
 from myrtlecourse.net.pool import Pool
 from myrtlecourse.net.reuse_delay import (
