Judge a client's reading of a long answer by the bytes that its system has acknowledged

Cause: STALLED_ANSWER_TIMEOUT (10 s) counted from when the event loop last told of room, and the kernel tells only when a third of its send buffer is free.

Change: `net/delivery.py` takes what was written less the transport's buffer and what the kernel has not seen acknowledged (SIOCOUTQ). A client has to take 4 KiB/s over 20 s; over 10 s while all descriptors are in use, as before. 20 s, as a system with a large receive buffer acknowledges in steps of up to a sixteenth of it. So one that takes a byte now and then is still ended.

--- a/myrtlecourse/net/listener.py
+++ b/myrtlecourse/net/listener.py
@@ -13,6 +13,7 @@
 from myrtlecourse import interface as api
 from myrtlecourse.net.answer_slot import AnswerSlot
 from myrtlecourse.net.clients import ClientConnection
+from myrtlecourse.net.delivery import DeliveryProgress
 from myrtlecourse.net.descriptors import DescriptorBudget
 from myrtlecourse.net.flow_control import StreamWindows, ValueMemory
 from myrtlecourse.net.hangup import HangUpMonitor
@@ -57,7 +58,10 @@
 # seconds, of the 2 that a drain may take, after which commands of the remaining clients are refused
 DRAIN_REFUSAL_DELAY = 1.5
 LINGERING_ALLOWANCE = 8  # half-closed connections whose descriptors do not count against the budget
-STALLED_ANSWER_TIMEOUT = 10.0  # seconds for which a client may read nothing of a long answer
+# Seconds over which a client that has to read first must take its answer at `delivery.MIN_RATE`. A system
+# with a large receive buffer acknowledges at once what a slow client reads in 8 s, or in 16 s.
+DELIVERY_INTERVAL = 20.0
+SCARCE_DELIVERY_INTERVAL = 10.0  # the same while all descriptors are in use
 log = logging.getLogger(__name__)
 rate_limited_log = RateLimitedLog(log)
 
@@ -86,8 +90,8 @@
         self.stopping = False  # this process ends: connections without open requests are closed
         self.setup_tasks: set[asyncio.Task[None]] = set()  # for accepted connections
         self.setting_up: set[ClientConnection] = set()  # accepted, but not in `connections` yet
-        # streamed answers that their clients don't read, each with the time since when, the longest first
-        self.stalled_answers: dict[AnswerSlot, float] = {}
+        # streamed answers that their clients have to read first, each with its progress, the longest first
+        self.stalled_answers: dict[AnswerSlot, DeliveryProgress] = {}
         self.paused_after_error: dict[ClientConnection, None] = {}  # not read for a while
         # connections without open requests, each with the time since when, the longest first
         self.awaiting_command: dict[ClientConnection, float] = {}  # for a first command or the rest of one
@@ -275,13 +279,7 @@
                 )
                 if not (connection.no_more_commands or progressing or connection.awaiting_reservation):
                     connection.close_with_error("-ERR no whole command came")
-            for slot, since in list(self.stalled_answers.items()):
-                if now - since < STALLED_ANSWER_TIMEOUT:
-                    break
-                # If the client no longer exists, this frees the server's connection and the memory. An answer
-                # behind others says nothing of the client.
-                if slot.is_first():
-                    slot.connection.abort(CloseReason.ANSWER_NOT_READ)
+            self._end_unread_answers(now)
             surplus = len(self.connections) - len(self.lingering) - self.budget // 2
             for connection, since in list(self.idle.items()):
                 if surplus <= 0:
@@ -291,6 +289,29 @@
                     connection.close(CloseReason.IDLE)
                     surplus -= 1
 
+    def _end_unread_answers(self, now: float) -> None:
+        """End the connections of clients that take too little of a long answer.
+
+        If the client no longer exists, this frees the server's connection and the memory. An answer behind
+        others says nothing of the client.
+        """
+        interval = self.delivery_interval()
+        for slot, progress in list(self.stalled_answers.items()):
+            if now - progress.since < interval:
+                break
+            if not slot.is_first():
+                continue
+            if progress.is_sufficient(now):
+                del self.stalled_answers[slot]
+                self.mark_stalled(slot)
+            else:
+                slot.connection.abort(CloseReason.ANSWER_NOT_READ)
+
+    def delivery_interval(self) -> float:
+        """Return the seconds over which a client's reading is judged."""
+        scarce = self.descriptors_used() >= self.budget
+        return SCARCE_DELIVERY_INTERVAL if scarce else DELIVERY_INTERVAL
+
     def _evict(self, connection: ClientConnection) -> None:
         """Abort a half-closed connection, whose descriptor a new client needs."""
         del self.lingering[connection]
@@ -311,8 +332,9 @@
         return self.stopping and not connection.reader.buffer and not connection.has_unread_input()
 
     def mark_stalled(self, slot: AnswerSlot) -> None:
-        """Record that a client does not read its streamed answer, or that it waits behind other answers."""
-        self.stalled_answers.setdefault(slot, self.loop.time())
+        """Record that a client has to read first, or that its streamed answer waits behind other answers."""
+        if slot not in self.stalled_answers:
+            self.stalled_answers[slot] = DeliveryProgress(slot.connection.transport, self.loop.time())
 
     def update_state(self, connection: ClientConnection) -> None:
         """Update whether a connection is idle, awaits a command or has open requests."""
