Keep a closing connection for as long as its client takes what was written

Cause: ClientConnection.close aborted 0.5 s after the shutdown of the sending side (LINGER_TIME), which threw away what lay in the process's buffer; and `_make_room` evicted half-closed connections in the order of their closing, whatever they owed.

Change: a half-closed connection is aborted once its client has taken all, or takes less than 4 KiB/s over the interval in which long answers are judged. New clients push out only half-closed connections that owe nothing, and wait otherwise. At SIGTERM `Listener.stop` ends by its time limit, as before.

--- a/myrtlecourse/net/clients.py
+++ b/myrtlecourse/net/clients.py
@@ -12,6 +12,7 @@
 from myrtlecourse.net.answer_slot import AnswerSlot
 from myrtlecourse.net.command import MAX_INFO, MAX_KEY, MAX_VALUE, CommandError, read_command
 from myrtlecourse.net.connection import has_unread_input
+from myrtlecourse.net.delivery import DeliveryProgress, untaken_bytes
 from myrtlecourse.net.hangup import has_hung_up
 from myrtlecourse.net.host import Host, busy_answer
 from myrtlecourse.net.request_log import CloseReason, requests_log
@@ -28,7 +29,9 @@
 MAX_PARTS = 16  # parts of a command
 MAX_PIPELINED = 32  # unanswered commands per connection
 MAX_FAST_PATH = 4096  # bytes that are parsed on the fast path
-LINGER_TIME = 0.5  # seconds for which a half-closed connection is still read, so that its last answer arrives
+# seconds for which a half-closed connection is still read at least, and between checks of whether its client
+# has taken its last answers
+LINGER_TIME = 0.5
 MAX_DISCARDED = 256 * 1024  # bytes read in that time, as a faulty client could go on sending at full speed
 ERROR_PAUSE = 0.1  # seconds for which a connection is not read after an error
 # offsets of 32-bit fields in Linux's tcp_info
@@ -301,8 +304,27 @@
             self.transport.abort()
             return
         self.update_reading()
-        # a client that reads no answers, or does nothing, would otherwise hold its descriptor for ever
-        self.listener.loop.call_later(LINGER_TIME, self.transport.abort)
+        progress = DeliveryProgress(self.transport, self.listener.loop.time())
+        self.listener.loop.call_later(LINGER_TIME, self._end_lingering, progress)
+
+    def _end_lingering(self, progress: DeliveryProgress) -> None:
+        """Close if the client has taken all that was written, or takes it too slowly."""
+        if self.transport.is_closing():
+            return
+        if not self.owes_bytes():
+            self.transport.abort()
+            return
+        now = self.listener.loop.time()
+        if now - progress.since >= self.listener.delivery_interval():
+            if not progress.is_sufficient(now):
+                self.abort(CloseReason.ANSWER_NOT_READ)
+                return
+            progress = DeliveryProgress(self.transport, now)
+        self.listener.loop.call_later(LINGER_TIME, self._end_lingering, progress)
+
+    def owes_bytes(self) -> bool:
+        """Return whether the client has not yet taken all bytes that were written to it."""
+        return untaken_bytes(self.transport) > int(self.half_closed)
 
     def eof_received(self) -> None:
         """Cancel the requests of a client that has hung up; written bytes are still sent for a while."""
--- a/myrtlecourse/net/listener.py
+++ b/myrtlecourse/net/listener.py
@@ -219,8 +219,8 @@
             if self.evicted:
                 await asyncio.sleep(0)
                 continue
-            if len(self.lingering) > LINGERING_ALLOWANCE:
-                self._evict(next(iter(self.lingering)))
+            if len(self.lingering) > LINGERING_ALLOWANCE and (evictable := self._lingering_to_evict()):
+                self._evict(evictable)
                 continue
             candidate = self._connection_to_close(now)
             if candidate is not None:
@@ -253,6 +253,10 @@
                 return connection
         return None
 
+    def _lingering_to_evict(self) -> ClientConnection | None:
+        """Return the oldest half-closed connection whose client has taken all that was written, if any."""
+        return next((c for c in self.lingering if not c.owes_bytes()), None)
+
     def descriptors_used(self) -> int:
         """Return the descriptors in use; a reserve covers those of a few half-closed connections."""
         return len(self.connections) + len(self.setting_up) - min(LINGERING_ALLOWANCE, len(self.lingering))
