Bound an answer streamed past its deadline by its progress, not by its age

Cause: MAX_STREAM_OVERRUN ended every such stream, whatever came of it.

Change: each minute past the deadline the stream goes on if 4 KiB/s came since the last check, or if its client held it up, whose reading is judged for itself. A server that trickles is ended. An answer that waits behind others, of which its client has nothing, is ended after a minute as before.

--- a/myrtlecourse/net/answer_slot.py
+++ b/myrtlecourse/net/answer_slot.py
@@ -155,6 +155,10 @@
         """
         return self.stream_state not in (StreamState.AWAITING_MEMORY, StreamState.GATHERING)
 
+    def waits_behind_others(self) -> bool:
+        """Return whether the streamed answer waits for its turn, or for memory: nothing of it is sent yet."""
+        return self.stream_state in (StreamState.BEHIND, StreamState.AWAITING_MEMORY)
+
     def holds_back_commands(self) -> bool:
         """Return whether further commands are to be left unread, as the end of the connection may be all that
         tells of this answer's."""
--- a/myrtlecourse/net/exchange.py
+++ b/myrtlecourse/net/exchange.py
@@ -38,7 +38,7 @@
     It waits for a connection, is written, and receives the answer. Its owner is the `AnswerReceiver`.
     """
 
-    __slots__ = ("command", "connection", "on_finished", "open", "receiver", "time_left")
+    __slots__ = ("command", "connection", "on_finished", "open", "receiver", "time_left", "was_paused")
 
     def __init__(
         self,
@@ -52,6 +52,7 @@
         self.on_finished = on_finished
         self.receiver = receiver
         self.open = True
+        self.was_paused = False  # whether its client held it up since `begin_pause_record`
         self.connection: Connection | None = None
 
     def check_still_wanted(self) -> bool:
@@ -69,8 +70,13 @@
     def pause(self) -> None:
         """Stop reading the answer, which its client does not read at present."""
         if self.open and self.connection is not None:
+            self.was_paused = True
             self.connection.pause()
 
+    def begin_pause_record(self) -> None:
+        """Record from now on whether the client holds up the answer."""
+        self.was_paused = self.connection is not None and self.connection.paused
+
     def resume(self) -> None:
         """Continue reading the answer."""
         if self.open and self.connection is not None:
--- a/myrtlecourse/net/host.py
+++ b/myrtlecourse/net/host.py
@@ -32,7 +32,7 @@
 # percentile; the rest allows for a core busy with other processes.
 DEADLINE_MARGIN = 0.02
 MIN_ID_MEMORY = 2.0  # seconds; the id of an ended request is not accepted again for at least this long
-MAX_STREAM_OVERRUN = 60.0  # seconds after the deadline for which a streamed answer may go on, however slowly
+STREAM_CHECK_INTERVAL = 60.0  # seconds between checks of the progress of an answer streamed past its deadline
 MAX_DIGITS = 12  # digits of a number in a command's names and values
 FAILED_ANSWER = b"-ERR failed\r\n"
 LATE_ANSWER_LOGGED = 0.1  # seconds after its deadline from which on a final answer is logged as late
@@ -358,18 +358,39 @@
     def _on_deadline(self, request_id: str) -> None:
         """Time out the open attempts of a request at its deadline."""
         request = self.requests[request_id]
-        # A streamed answer whose first bytes were in time goes on as fast as its server sends and its client
-        # reads, but only for a limited time.
-        streaming = None if request.deadline_passed else request.streaming_attempt
-        if not request.answer_sink.may_continue_late():
-            streaming = None
+        # A streamed answer whose first bytes were in time goes on while it makes progress.
+        streaming = request.streaming_attempt if request.answer_sink.may_continue_late() else None
         request.deadline_passed = True
         if streaming is not None:
-            request.deadline_timer = self.timers.call_later(MAX_STREAM_OVERRUN, self._on_deadline, request_id)
+            streaming.begin_progress_interval()
+            self._check_stream_later(request)
+        self._time_out_attempts(request, streaming)
+
+    def _check_stream_later(self, request: RequestInFlight) -> None:
+        request.deadline_timer = self.timers.call_later(
+            STREAM_CHECK_INTERVAL, self._check_stream, request.request_id
+        )
+
+    def _check_stream(self, request_id: str) -> None:
+        """End an answer that is streamed past its deadline if too little of it has come since the last check.
+
+        One that waits behind others is ended too: its client has nothing of it, and gets an error instead.
+        """
+        request = self.requests[request_id]
+        streaming = request.streaming_attempt
+        waits = request.answer_sink.waits_behind_others()
+        if streaming is not None and not waits and streaming.made_progress(STREAM_CHECK_INTERVAL):
+            streaming.begin_progress_interval()
+            self._check_stream_later(request)
+        else:
+            self._time_out_attempts(request)
+
+    def _time_out_attempts(self, request: RequestInFlight, spared: Attempt | None = None) -> None:
+        """Time out the open attempts of a request but for one."""
         # The loop needs a copy: the decision module may answer the request, and so end its attempts,
         # meanwhile.
         for attempt in list(request.open_attempts.values()):
-            if attempt is not streaming:
+            if attempt is not spared:
                 self._time_out(attempt)
 
     def _answer(self, request_id: str, answer: bytes, reason: api.Reason = api.Reason.UNKNOWN) -> None:
--- a/myrtlecourse/net/in_flight.py
+++ b/myrtlecourse/net/in_flight.py
@@ -11,6 +11,7 @@
 
 from myrtlecourse import interface as api
 from myrtlecourse.net.command import Command
+from myrtlecourse.net.delivery import MIN_RATE
 from myrtlecourse.net.exchange import Exchange
 from myrtlecourse.net.timers import Timer
 
@@ -41,6 +42,9 @@
     def may_continue_late(self) -> bool:
         """Return whether a streamed answer that has begun may go on past its request's deadline."""
 
+    def waits_behind_others(self) -> bool:
+        """Return whether a streamed answer waits for its turn, so that its client has nothing of it."""
+
     def client_connected(self) -> bool:
         """Return whether the client is still connected; works even while its connection is not read."""
 
@@ -56,6 +60,7 @@
         "exchange",
         "host",
         "number",
+        "received_bytes",
         "request",
         "send_deadline",
         "sent_at",
@@ -77,6 +82,7 @@
         self.send_deadline = math.inf if send_deadline is None else send_deadline
         self.deadline = request.deadline  # until when the router waits for the answer
         self.stream_started_at = 0.0  # when a streamed answer began; 0 if none has
+        self.received_bytes = 0  # of a streamed answer, since its progress was last judged
         self.exchange: Exchange | None = None
         self.timeout_timer: Timer | None = None
 
@@ -102,9 +108,24 @@
 
     def write_chunk(self, data: bytes) -> None:
         """Forward a chunk of the streamed value, unless the request is closed."""
+        self.received_bytes += len(data)
         if not self.request.closed:
             self.request.answer_sink.write_chunk(data)
 
+    def begin_progress_interval(self) -> None:
+        """Begin an interval over which `made_progress` judges the streamed answer."""
+        self.received_bytes = 0
+        if self.exchange is not None:
+            self.exchange.begin_pause_record()
+
+    def made_progress(self, seconds: float) -> bool:
+        """Return whether enough of the streamed answer came in an interval, or its client held it up.
+
+        How long a client may do so is limited where its reading is judged (`net.listener`).
+        """
+        held_up = self.exchange is not None and self.exchange.was_paused
+        return held_up or self.received_bytes >= MIN_RATE * seconds
+
 
 class RequestInFlight:
     """A request, kept until it has been answered and all its attempts have ended."""
