Refuse another length of the lease at a reload

A holder that reloads a longer lease counts older promises as of the new length, and would hold beyond them, beside the next holder, if it is cut off before the others have reloaded.

Cause: Election.check_change looked at voters alone, and `_on_changed` computed the lease again with the new length. The length of a promise stands in no message.

Why this works: while processes run, the holder's and the voters' length stay as they were. Lowering is refused too, as a voter that reloads before its holder promises less than that counts on.

Evidence: test_a_lease_of_another_length_is_refused_while_a_process_runs failed before in 2 of 2 forms (20 s and 1.8 s in place of 2 s).

--- a/myrtlecourse/election/core.py
+++ b/myrtlecourse/election/core.py
@@ -524,9 +524,12 @@
 
         Raises:
             ElectionError: more than one voter was added or removed, so that two majorities might share no
-                voter; or this instance holds the lease, and the lease would end, as too few of the remaining
-                voters have renewed their promises.
+                voter; or the lease has another length, while voters may still promise the length from before
+                or a holder count on it; or this instance holds the lease, and the lease would end, as too few
+                of the remaining voters have renewed their promises.
         """
+        if settings.lease != self.settings.lease:
+            raise ElectionError("lease: can't change while a process runs; end all routers, then start them")
         if len(set(settings.voters) ^ set(self.settings.voters)) > 1:
             raise ElectionError("voters: add or remove one at a time; wait until all routers have the change")
         removed = set(self.settings.voters) - set(settings.voters)
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -434,6 +434,18 @@
     assert election.holds(100.3)
 
 
+# Guards against two holders at once: one that counts promises of a shorter lease as of a longer one, and the
+# next. A voter that lowered it before its holder would do the same.
+@pytest.mark.parametrize("lease", [20.0, 1.8])
+def test_a_lease_of_another_length_is_refused_while_a_process_runs(lease: float) -> None:
+    election = holder_supported_by("b", "c")
+    until = election.lease_until
+    change = messages.SettingsChanged(settings(lease=lease))
+    with pytest.raises(messages.ElectionError, match="lease: can't change"):
+        election.handle(100.1, change)
+    assert election.lease_until == until
+
+
 def test_a_change_that_is_refused_as_the_lease_ends_does_nothing() -> None:
     """Guards against a withdrawal that was decided and then lost with the refusal, so that the instance
     stayed in STEPPING_DOWN."""
