--- a/bench/rig.py
+++ b/bench/rig.py
@@ -148,13 +148,18 @@
 
 @contextlib.contextmanager
 def run_router(
-    command: list[str], configuration: dict[str, Any], cores: set[int], sockets: int = 1024
+    command: list[str],
+    configuration: dict[str, Any],
+    cores: set[int],
+    sockets: int = 1024,
+    limits: dict[str, Any] | None = None,
 ) -> Iterator[tuple[int, subprocess.Popen[str]]]:
     """Run a router and yield its port and process. Raise SystemExit with its log if it does not start."""
     with tempfile.TemporaryDirectory() as folder:
         file, log = Path(folder, "config.json"), Path(folder, "log")
         # There is no discovery server, so the given list stays in force: only the data path is measured.
-        config = configuration | {"discovery": "127.0.0.1:9", "limits": {"sockets": sockets, "cores": 1.0}}
+        limits = limits or {"sockets": sockets, "cores": 1.0}
+        config = configuration | {"discovery": "127.0.0.1:9", "limits": limits}
         file.write_text(json.dumps(config))
         with (
             log.open("w") as errors,
