--- a/bench/slow_clients.py
+++ b/bench/slow_clients.py
@@ -27,6 +27,9 @@
 DEADLINE_MS = 900  # milliseconds that a client waits for the beginning of its value
 SAMPLE_INTERVAL = 0.1  # seconds between looks at the router's memory and descriptors
 READS_PER_SECOND = 10
+MAX_ATTEMPTS = 100
+RETRY_PAUSE = 0.1  # seconds
+MAX_ERROR = 4096  # bytes of an error
 TRAILER = len(b"\r\n")
 
 
@@ -66,16 +69,24 @@
         self.socket.setblocking(False)
         self.received = 0
         self.whole = False
-        self.began = asyncio.Event()
 
     async def ask(self, port: int) -> None:
+        """Ask until a value begins: a router that has just started refuses some requests."""
         loop = asyncio.get_running_loop()
         await loop.sock_connect(self.socket, ("127.0.0.1", port))
-        name = b"%d" % self.number
         info = b"c=read,t=slow,d=%d" % DEADLINE_MS
-        await loop.sock_sendall(
-            self.socket, encode_command([b"C.GET", b"key-" + name, b"slow-" + name, info])
-        )
+        for attempt in range(MAX_ATTEMPTS):
+            request_id = b"slow-%d-%d" % (self.number, attempt)
+            command = encode_command([b"C.GET", b"key-%d" % self.number, request_id, info])
+            await loop.sock_sendall(self.socket, command)
+            first = await loop.sock_recv(self.socket, 1)
+            if first == b"$":
+                self.received = len(first)
+                return
+            while not first.endswith(b"\n"):
+                first = await loop.sock_recv(self.socket, MAX_ERROR)
+            await asyncio.sleep(RETRY_PAUSE)
+        raise SystemExit(f"no value began in {MAX_ATTEMPTS} attempts")
 
     async def read(self) -> None:
         """Read up to the end of the value or of the connection."""
@@ -87,13 +98,10 @@
                 if not data:
                     return
                 self.received += len(data)
-                self.began.set()
                 due += len(data) / self.rate
                 await asyncio.sleep(max(0.0, due - time.monotonic()))
         except ConnectionResetError:
             return
-        finally:
-            self.began.set()
         self.whole = True
 
     async def read_nothing(self, seconds: float) -> None:
@@ -107,13 +115,11 @@
     watching = asyncio.create_task(watch(router, usage))
     readers = [SlowClient(number, options) for number in range(options.clients)]
     idlers = [SlowClient(options.clients + number, options) for number in range(options.idle)]
-    for client in (*readers, *idlers):
-        await client.ask(port)
+    await asyncio.gather(*(client.ask(port) for client in (*readers, *idlers)))
     seconds = options.value / options.rate
     tasks = [asyncio.create_task(c.read()) for c in readers]
     tasks += [asyncio.create_task(c.read_nothing(seconds)) for c in idlers]
     if options.drain:
-        await asyncio.gather(*(c.began.wait() for c in readers))
         os.kill(router, signal.SIGTERM)
     await asyncio.gather(*tasks)
     watching.cancel()
