Count attempts and answers from their arrival, not from when a stalled observer reads them

Cause: the stand-in fleet counted an attempt from when it read it, and the load generator an answer. While either got no processor time, correct routers were accused. Ruled out: writes of the load generator that come later than noted (uvloop writes at once; a test holds it).

Change: both go by the kernel's age of received data; the origin's rate counts arrivals in any order of reading; the end of a router's stop is observed as it is resumed. No slack changed.

--- a/myrtlecourse/audit/auditor.py
+++ b/myrtlecourse/audit/auditor.py
@@ -338,16 +338,17 @@
 
     def _judge_answer(self, event: seen.RequestAnswered) -> None:
         history = self._history(event.id, "", event.at)
+        arrived = event.arrived or event.at  # its client may have read the answer later
         history.answers += 1
         if history.answers > 1:
             self._report_breach("answered_twice", event.at, history.router, event.id)
         if history.deadline is not None:
             allowed_time = history.deadline + self.rules.answer_slack - history.first_seen
-            self._update_margin("late", event.at - history.first_seen, allowed_time)
-        overdue = history.deadline is not None and event.at > history.deadline + self.rules.answer_slack
-        if history.deadline is not None and overdue and not self._was_stopped(history, event.at):
-            late = f"{event.at - history.deadline:.3f} s after its deadline"
-            self._report_breach("late", event.at, history.router, event.id, detail=late)
+            self._update_margin("late", arrived - history.first_seen, allowed_time)
+        overdue = history.deadline is not None and arrived > history.deadline + self.rules.answer_slack
+        if history.deadline is not None and overdue and not self._was_stopped(history, arrived):
+            late = f"{arrived - history.deadline:.3f} s after its deadline"
+            self._report_breach("late", arrived, history.router, event.id, detail=late)
         if event.how == "served" and not event.made:
             self._report_breach(
                 "foreign",
@@ -369,7 +370,7 @@
                 "refused_after_send", event.at, history.router, event.id, executed.server, detail
             )
         if history.ended is None:
-            history.ended = event.at
+            history.ended = arrived
 
     def _judge_unanswered(self, event: seen.RequestUnanswered) -> None:
         history = self._history(event.id, "", event.at)
--- a/myrtlecourse/audit/observations.py
+++ b/myrtlecourse/audit/observations.py
@@ -49,6 +49,8 @@
     id: str
     how: str
     made: bool = True
+    # when its last byte arrived, which the client may have read later; 0: at the time of this observation
+    arrived: float = 0.0
 
 
 class RequestUnanswered(ObservationBase, frozen=True, tag="unanswered"):
--- a/myrtlecourse/audit/origin.py
+++ b/myrtlecourse/audit/origin.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
-from collections import deque
+from bisect import bisect_right
 from collections.abc import Callable
 
 from myrtlecourse.audit import observations as seen
 
 ORIGIN = "origin"
 WINDOW = 1.0  # seconds
+READING_DELAY = 10.0  # seconds after its arrival within which a held-up origin must have read a request
 
 
 class OriginRule:
@@ -23,20 +24,30 @@
         """
         self.rate = rate
         self.report_breach = report_breach
-        self.recent: deque[float] = deque()
+        self.recent: list[float] = []  # arrival times, in order
         self.over = False  # whether the rate was exceeded at the last request
         self.margin = 0.0  # the highest share of the limit that was reached, at most 1
 
     def judge(self, event: seen.Observation) -> None:
-        """Judge an observation; observations must come in the order of their times."""
+        """Judge an observation; observations must come in the order of their times.
+
+        Requests count from their arrival: a held-up origin reads many at once.
+        """
         if not self.rate or not isinstance(event, seen.AttemptReceived) or event.box != ORIGIN:
             return
-        self.recent.append(event.at)
-        while self.recent[0] <= event.at - WINDOW:
-            self.recent.popleft()
-        count = len(self.recent)
+        arrived = event.began
+        position = bisect_right(self.recent, arrived)
+        self.recent.insert(position, arrived)
+        # Windows that end with a later arrival, read before this one, hold this one too.
+        window_ends = self.recent[position : bisect_right(self.recent, arrived + WINDOW)]
+        count = max(self._count_until(end) for end in window_ends)
         self.margin = max(self.margin, min(1.0, count / self.rate))
         over = count > self.rate
         if over and not self.over:  # each period of overload counts as one breach
-            self.report_breach(event.at, f"{count} in a second, of {self.rate:g} that it bears")
+            self.report_breach(arrived, f"{count} in a second, of {self.rate:g} that it bears")
         self.over = over
+        del self.recent[: bisect_right(self.recent, event.at - READING_DELAY)]
+
+    def _count_until(self, end: float) -> int:
+        """Return the number of requests that arrived in the window that ends at a time."""
+        return bisect_right(self.recent, end) - bisect_right(self.recent, end - WINDOW)
--- a/myrtlecourse/fleet/routers.py
+++ b/myrtlecourse/fleet/routers.py
@@ -296,6 +296,8 @@
         router = self.members[int(step.target.rpartition("-")[2])]
         if step.action == "go_on":
             router.stall(False)  # even if it was asked to end since: nothing else would resume it
+            # It was stopped until now, which may be later than planned if this process was held up.
+            router.observe(seen.RouterStalled(time.monotonic(), router.name, 0.0))
             return
         if not router.should_run:
             return  # the router is already ending or starting
--- a/myrtlecourse/load/client.py
+++ b/myrtlecourse/load/client.py
@@ -4,12 +4,15 @@
 
 import asyncio
 import errno
+import socket
+import time
 from collections import deque
 from collections.abc import Callable
 from typing import cast
 
 from myrtlecourse.net.dial import open_in_time
 from myrtlecourse.net.resp import INCOMPLETE, Message, Reader, RespError
+from myrtlecourse.net.tcp_info import data_age
 
 MAX_ANSWER = 16 * 1024 * 1024  # bytes; an answer that announces more is rejected before it is read
 MAX_ITEMS = 16  # items of an answer that is an array
@@ -34,12 +37,15 @@
         self.last_request = ""  # the id of the last request on this connection
         self.connected = False
         self.dial_given_up = False  # its transport is closed as soon as there is one
+        self.answered_at = 0.0  # when the last byte of the latest answer arrived, on the monotonic clock
+        self.socket: socket.socket | None = None  # None with transports that have none, as in virtual time
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(asyncio.Transport, transport)
         if self.dial_given_up:
             self.transport.abort()
             return
+        self.socket = transport.get_extra_info("socket")
         self.connected = True
 
     def send(self, data: bytes, on_reply: ReplyCallback) -> None:
@@ -65,6 +71,7 @@
             self.transport.abort()
             return
         if message is not INCOMPLETE:
+            self.answered_at = self._arrival_time()
             on_reply, self.on_reply = self.on_reply, None
             reused, self.reused = self.reused, True
             # Bytes beyond the answer would be taken for the answer to the next request.
@@ -75,6 +82,12 @@
                 self.pool.release(self)
             on_reply(message, reused)
 
+    def _arrival_time(self) -> float:
+        """Return when the data that is read now arrived; this process may have been held up since."""
+        now = time.monotonic()
+        age = None if self.socket is None else data_age(self.socket)
+        return now - (age or 0.0)
+
     def connection_lost(self, exc: Exception | None) -> None:
         if self.dial_given_up:
             return  # the pool has counted it as failed
@@ -90,7 +103,7 @@
 class PendingCommand:
     """A command that waits for a connection or its answer."""
 
-    __slots__ = ("abandoned", "connection", "data", "fresh", "name", "on_reply", "on_written")
+    __slots__ = ("abandoned", "answered_at", "connection", "data", "fresh", "name", "on_reply", "on_written")
 
     def __init__(
         self, name: str, data: bytes, on_reply: ReplyCallback, on_written: Callable[[], None], fresh: bool
@@ -102,6 +115,7 @@
         self.fresh = fresh  # whether the command needs a new connection
         self.abandoned = False
         self.connection: ClientConnection | None = None
+        self.answered_at = 0.0  # when the last byte of its answer arrived; 0 without an answer
 
     def abandon(self) -> None:
         """Stop waiting and close the connection, as a client does that leaves."""
@@ -161,6 +175,8 @@
 
         def on_reply(answer: Message | BaseException, reused: bool) -> None:
             command.connection = None
+            if not isinstance(answer, BaseException):
+                command.answered_at = connection.answered_at
             command.on_reply(answer, reused)
 
         connection.last_request = command.name
--- a/myrtlecourse/load/generator.py
+++ b/myrtlecourse/load/generator.py
@@ -66,22 +66,28 @@
 
     def on_reply(self, answer: Message | BaseException, reused: bool) -> None:
         """Handle the answer or the error."""
-        observe, self.command = self.request.generator.observe, None
-        if observe is not None and self.observed:
-            now = time.monotonic()
-            value = served_value(answer)
-            if value is not None:
-                made = value.startswith(self.name.encode() + b" ")
-                observe(seen.RequestAnswered(now, self.name, "served", made))
-            elif isinstance(answer, BaseException):
-                observe(seen.RequestUnanswered(now, self.name, "ended", reused))
-            else:
-                refused = isinstance(answer, ErrorLine) and parse_retry_after(answer.text) is not None
-                observe(seen.RequestAnswered(now, self.name, "refused" if refused else "failed"))
+        command, self.command = self.command, None
+        if self.observed:
+            self._observe_reply(answer, reused, 0.0 if command is None else command.answered_at)
         if not self.ended:
             self.ended = True
             self.request.on_reply(answer, reused)
 
+    def _observe_reply(self, answer: Message | BaseException, reused: bool, arrived: float) -> None:
+        """Report the answer, whose last byte arrived at `arrived`, or the error."""
+        observe, now = self.request.generator.observe, time.monotonic()
+        assert observe is not None
+        value = served_value(answer)
+        if value is not None:
+            made = value.startswith(self.name.encode() + b" ")
+            observe(seen.RequestAnswered(now, self.name, "served", made, arrived))
+        elif isinstance(answer, BaseException):
+            observe(seen.RequestUnanswered(now, self.name, "ended", reused))
+        else:
+            refused = isinstance(answer, ErrorLine) and parse_retry_after(answer.text) is not None
+            how = "refused" if refused else "failed"
+            observe(seen.RequestAnswered(now, self.name, how, arrived=arrived))
+
     def end(self, how: str) -> None:
         """Stop waiting; an observed client still listens for LINGER seconds after its deadline."""
         self.ended = True
--- a/myrtlecourse/net/clients.py
+++ b/myrtlecourse/net/clients.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 import socket
-import sys
 from collections import deque
 from typing import TYPE_CHECKING, cast
 
@@ -17,6 +16,7 @@
 from myrtlecourse.net.host import Host, busy_answer
 from myrtlecourse.net.request_log import CloseReason, requests_log
 from myrtlecourse.net.resp import INCOMPLETE, Message, Reader, RespError, split_command
+from myrtlecourse.net.tcp_info import data_age
 from myrtlecourse.net.transport import Transport
 
 if TYPE_CHECKING:
@@ -34,28 +34,9 @@
 LINGER_TIME = 0.5
 MAX_DISCARDED = 256 * 1024  # bytes read in that time, as a faulty client could go on sending at full speed
 ERROR_PAUSE = 0.1  # seconds for which a connection is not read after an error
-# offsets of 32-bit fields in Linux's tcp_info
-RTO_OFFSET = 8  # retransmission timeout in microseconds
-LAST_DATA_OFFSET = 52  # milliseconds since data was last received
-FIELD_SIZE = 4  # bytes
 log = logging.getLogger(__name__)
 
 
-def data_age(client: socket.socket) -> float | None:
-    """Return the seconds since data was last received on a connection, from tcp_info (Linux).
-
-    Return None if the kernel does not say: the retransmission timeout is never 0, so that 0 there means that
-    the fields were not filled in.
-    """
-    try:
-        info = client.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_OFFSET + FIELD_SIZE)
-    except OSError:
-        return None  # the connection has just ended
-    if not any(info[RTO_OFFSET : RTO_OFFSET + FIELD_SIZE]):
-        return None
-    return int.from_bytes(info[LAST_DATA_OFFSET:], sys.byteorder) / 1000
-
-
 class ClientConnection(asyncio.Protocol):
     """A client's connection."""
 
--- /dev/null
+++ b/myrtlecourse/net/tcp_info.py
@@ -0,0 +1,26 @@
+"""Reads what Linux tells of a TCP connection (tcp_info)."""
+
+from __future__ import annotations
+
+import socket
+import sys
+
+# offsets of 32-bit fields in tcp_info
+RTO_OFFSET = 8  # retransmission timeout in microseconds
+LAST_DATA_OFFSET = 52  # milliseconds since data was last received
+FIELD_SIZE = 4  # bytes
+
+
+def data_age(connection: socket.socket) -> float | None:
+    """Return the seconds since data was last received on a connection, whether it has been read or not.
+
+    Return None if the kernel does not say: the retransmission timeout is never 0, so that 0 there means that
+    the fields were not filled in.
+    """
+    try:
+        info = connection.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_OFFSET + FIELD_SIZE)
+    except OSError:
+        return None  # the connection has just ended
+    if not any(info[RTO_OFFSET : RTO_OFFSET + FIELD_SIZE]):
+        return None
+    return int.from_bytes(info[LAST_DATA_OFFSET:], sys.byteorder) / 1000
--- a/tests/soak_wrong.py
+++ b/tests/soak_wrong.py
@@ -26,6 +26,11 @@
     host.DEADLINE_MARGIN = -2.0
 
 
+def tells_deadlines_late() -> None:
+    """Tells servers a deadline slightly beyond the request's."""
+    host.DEADLINE_MARGIN = -0.3
+
+
 def forgets_drains() -> None:
     """Ignores drains: leaves servers that are not ready out of each list update."""
     original_apply_list = host.Host.apply_list
@@ -42,7 +47,7 @@
     ReuseDelay.seconds = lambda self, now: 0.0  # type: ignore[method-assign]
 
 
-VARIANTS = (ends_at_once, misses_deadlines, forgets_drains, reuses_connections_at_once)
+VARIANTS = (ends_at_once, misses_deadlines, tells_deadlines_late, forgets_drains, reuses_connections_at_once)
 
 if __name__ == "__main__":
     next(variant for variant in VARIANTS if variant.__name__ == sys.argv[1])()
--- a/tests/test_net_loop_lag.py
+++ b/tests/test_net_loop_lag.py
@@ -9,8 +9,8 @@
 import pytest
 
 from myrtlecourse.net import clients
-from myrtlecourse.net.clients import data_age
 from myrtlecourse.net.loop_lag import RECOVERY_TIME, LoopLag
+from myrtlecourse.net.tcp_info import data_age
 from tests.loopback import HIT, Router, read, run, until
 
 BLOCKED = 0.25  # seconds for which the event loop is blocked
