Hand the listed ids to the next process at an upgrade: offline answered 404 for one that had left

Cause: the ids that lists had named were state of the process. Ruled out: the file of the orders for them, as each list would then rewrite the orders under their lock.

Measured: the new test of two real processes got 404 before and 200 after.

--- a/myrtlecourse/ops/orders.py
+++ b/myrtlecourse/ops/orders.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator, Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field, replace
 from typing import Any
 
@@ -14,7 +14,6 @@
 
 MAX_BANS = 1024
 RETURN_MEMORY = 600.0  # seconds for which the end of a ban is remembered: longer than any server's warm-up
-MAX_LISTED = 4096  # ids that are remembered; beyond that, those listed longest ago are forgotten
 
 
 class OrdersError(ValueError):
@@ -106,28 +105,3 @@
     if not isinstance(revision, int) or isinstance(revision, bool) or not isinstance(out, bool):
         raise OrdersError("revision or out_of_service is missing or malformed")
     return Orders(revision, read_times(table, "bans"), read_times(table, "returned"), out)
-
-
-class ListedServers:
-    """The ids that discovery has listed, to refuse calls for servers that the fleet does not have."""
-
-    def __init__(self) -> None:
-        # id -> whether it is a cache server; the one listed last comes last
-        self.cache_by_id: dict[str, bool] = {}
-
-    def record(self, listed: Iterable[tuple[str, bool]]) -> None:
-        """Record listed ids with whether each is a cache server.
-
-        The number is bounded, as a fleet whose servers are replaced lists new ids all the time.
-        """
-        for name, is_cache in listed:
-            self.cache_by_id.pop(name, None)
-            self.cache_by_id[name] = is_cache
-        while len(self.cache_by_id) > MAX_LISTED:
-            del self.cache_by_id[next(iter(self.cache_by_id))]
-
-    def refusal_reason(self, name: str) -> str:
-        """Return why a call for an id is refused, or an empty text if it is accepted."""
-        if name not in self.cache_by_id:
-            return "discovery has not listed this id"
-        return "" if self.cache_by_id[name] else "this is the origin, not a cache server"
--- a/myrtlecourse/service.py
+++ b/myrtlecourse/service.py
@@ -30,7 +30,8 @@
 from myrtlecourse.net.servers import CacheConnection
 from myrtlecourse.ops.calls import Call, Kind, Response
 from myrtlecourse.ops.descriptor_claims import Claim, DescriptorClaims, descriptor_share
-from myrtlecourse.ops.orders import ListedServers, Orders, OrdersError, events_between
+from myrtlecourse.ops.listed_servers import ListedServers, ListedServersFile
+from myrtlecourse.ops.orders import Orders, OrdersError, events_between
 from myrtlecourse.ops.server import OpsServer
 from myrtlecourse.ops.store import OrderStore
 from myrtlecourse.overload.core import CoreAdmission
@@ -99,6 +100,7 @@
         )
         self.listener = Listener(self.host, available // 2, descriptors, windows, self.upload_memory)
         self.listed_servers = ListedServers()
+        self.listed_servers_file = ListedServersFile(folder, self.listed_servers)
         self.store = OrderStore(folder)
         self.claims = None
         if folder is not None and inherited is not None:
@@ -124,7 +126,8 @@
     def _on_list(self, kind: api.ListKind, members: list[Member]) -> None:
         """Pass a list of servers, or a change of it, to the host."""
         origin = self.host.settings.origin_kind if self.host.settings.cache_aside else None
-        self.listed_servers.record((m.entry.server, m.entry.kind != origin) for m in members)
+        if self.listed_servers.record((m.entry.server, m.entry.kind != origin) for m in members):
+            self.listed_servers_file.save_soon()
         self.host.submit_list(kind, members)
         if kind is not api.ListKind.SAVED:
             self.list_received.set()
@@ -140,6 +143,8 @@
             loop.add_signal_handler(each, terminated.set)
         self.store.refresh()
         self._apply_orders()
+        if self.inherited is not None:
+            self.listed_servers_file.load()
         self._on_list(api.ListKind.SAVED, self.config.known)
         if not self.config.settings.subscribe:
             # the decision module then sends no `Subscribe`, as it expects that lists are pushed; they are
@@ -171,6 +176,7 @@
         if poll is not None:
             poll.cancel()
         self.ops.close()
+        self.listed_servers_file.close()
         self.discovery.close()
         self.servers.close()
         self.origin.close()
--- a/tests/test_ops_orders.py
+++ b/tests/test_ops_orders.py
@@ -15,15 +15,7 @@
 from myrtlecourse import interface as api
 from myrtlecourse.ops import orders as module
 from myrtlecourse.ops.descriptor_claims import MIN_DESCRIPTORS, Claim, DescriptorClaims, descriptor_share
-from myrtlecourse.ops.orders import (
-    RETURN_MEMORY,
-    ListedServers,
-    Orders,
-    OrdersError,
-    events_between,
-    from_table,
-    to_table,
-)
+from myrtlecourse.ops.orders import RETURN_MEMORY, Orders, OrdersError, events_between, from_table, to_table
 from myrtlecourse.ops.store import OrderStore
 
 
@@ -81,16 +73,6 @@
     assert from_table(orjson.loads(orjson.dumps(to_table(orders)))) == orders
 
 
-def test_ids_that_were_listed_are_remembered_and_others_refused(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(module, "MAX_LISTED", 2)
-    listed = ListedServers()
-    listed.record([("a", True), ("o", False)])
-    assert listed.refusal_reason("a") == "" and "origin" in listed.refusal_reason("o")
-    assert listed.refusal_reason("x") == "discovery has not listed this id"
-    listed.record([("a", True), ("b", True)])
-    assert listed.refusal_reason("a") == "" and listed.refusal_reason("o")  # o was named longest ago
-
-
 def change(store: OrderStore, server: str) -> None:
     asyncio.run(store.change(lambda o: o.with_ban(server, 5.0)))
 
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -423,6 +423,25 @@
     run(scenario)
 
 
+# guards against a 404 for a server that only the process before an upgrade had seen on a list
+def test_a_server_that_left_the_list_may_be_taken_out_after_an_upgrade_too(tmp_path: Path) -> None:
+    async def scenario() -> None:
+        async with site(tmp_path, inherit=True) as cluster:
+            old = await cluster.start()
+            while not list(tmp_path.glob("*-listed.json")):
+                await asyncio.sleep(0.01)
+            del cluster.caches["b"]
+            cluster.path.write_bytes(orjson.dumps(cluster.config()))
+            new = await cluster.start()
+            old.process.send_signal(signal.SIGTERM)
+            async with asyncio.timeout(TIMEOUT):
+                await old.process.wait()
+            answers = [await new.call("PUT", f"cache-servers/{name}/offline") for name in ("a", "b", "x")]
+            assert [status for status, _ in answers] == [200, 200, 404]
+
+    run(scenario)
+
+
 def test_upgrade_upon_upgrade_while_out_of_service(tmp_path: Path) -> None:
     async def scenario() -> None:
         async with site(tmp_path, inherit=True) as cluster:
