Split the accepting of clients from the listener

Change: structure only, net/acceptor.py takes clients from the backlog and hands each on; one table holds those being set up. The end of a set-up that failed wakes those who wait for a drain; before, they found it at their next look. Tests name the new places and assert the same.

--- a/myrtlecourse/net/listener.py
+++ b/myrtlecourse/net/listener.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import logging
 import socket
 from collections.abc import Callable
@@ -11,6 +10,7 @@
 from itertools import chain, islice
 
 from myrtlecourse import interface as api
+from myrtlecourse.net.acceptor import Acceptor
 from myrtlecourse.net.answer_slot import AnswerSlot
 from myrtlecourse.net.clients import ClientConnection
 from myrtlecourse.net.delivery import DeliveryProgress
@@ -23,25 +23,6 @@
 
 BACKLOG = 512
 MAX_CANDIDATES = 16  # connections of each kind that are checked for one to close
-MAX_ACCEPTS = 32  # per iteration of the event loop, so that open connections are served in between
-# errors of accept() that concern a single pending connection; the next may be fine (see accept(2))
-SINGLE_CLIENT_ERRORS = frozenset(
-    {
-        errno.ECONNABORTED,
-        errno.EHOSTDOWN,
-        errno.EHOSTUNREACH,
-        errno.EINTR,
-        errno.ENETDOWN,
-        errno.ENETUNREACH,
-        errno.ENONET,
-        errno.ENOPROTOOPT,
-        errno.EOPNOTSUPP,
-        errno.EPERM,
-        errno.EPROTO,
-        errno.ETIMEDOUT,
-    }
-)
-ACCEPT_PAUSE = 0.1  # seconds after a failed accept, so that a lack of descriptors causes no busy loop
 # seconds for a command to arrive: a correct client may take 2, and a faulty one has to be answered within 3
 COMMAND_TIMEOUT = 2.6
 VALUE_STALL_TIMEOUT = 1.0  # seconds within which more of a value must arrive after that
@@ -88,16 +69,14 @@
         self.evicted: set[ClientConnection] = set()  # aborted; their descriptors are about to become free
         self.hang_up_monitor = HangUpMonitor()  # for connections that are not read
         self.stopping = False  # this process ends: connections without open requests are closed
-        self.setup_tasks: set[asyncio.Task[None]] = set()  # for accepted connections
-        self.setting_up: set[ClientConnection] = set()  # accepted, but not in `connections` yet
+        # accepted, but not in `connections` yet; each with the task that sets it up
+        self.setting_up: dict[ClientConnection, asyncio.Task[None]] = {}
         # streamed answers that their clients have to read first, each with its progress, the longest first
         self.stalled_answers: dict[AnswerSlot, DeliveryProgress] = {}
         self.paused_after_error: dict[ClientConnection, None] = {}  # not read for a while
         # connections without open requests, each with the time since when, the longest first
         self.awaiting_command: dict[ClientConnection, float] = {}  # for a first command or the rest of one
         self.idle: dict[ClientConnection, float] = {}
-        self.accept_ready = asyncio.Event()  # set when clients wait to be accepted
-        self.consecutive_accept_failures = 0
         self.state_changed = asyncio.Event()  # set when a connection has ended or become idle
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.tasks: list[asyncio.Task[None]] = []
@@ -106,6 +85,7 @@
         # whether this process holds the service address; None if the address does not move
         self.holds_address: Callable[[], bool] | None = None
         self.loop: asyncio.AbstractEventLoop  # set by `start`
+        self.acceptor: Acceptor  # set by `start`
 
     def start(self, address: tuple[str, int], inherited: int | None = None) -> None:
         """Listen and accept clients; `inherited` is the descriptor of an inherited listening socket."""
@@ -120,77 +100,22 @@
             self.socket = socket.socket(fileno=inherited)
             self.socket.setblocking(False)
             self.inherited = True
-        self.tasks = [asyncio.create_task(self._accept()), asyncio.create_task(self._enforce_time_limits())]
-
-    async def _accept(self) -> None:
-        """Accept all waiting clients, up to `MAX_ACCEPTS` in each iteration of the event loop.
-
-        With one per iteration, clients waited in the backlog while iterations grew long, until they had given
-        up: their commands were then processed for nobody, and each client retried on a new connection.
-        """
-        while True:
-            try:
-                await self._wait_for_clients()
-                for _ in range(MAX_ACCEPTS):
-                    if not await self._accept_one():
-                        break
-            except OSError as e:
-                # Without this task no client would ever be accepted again, so an error must not end it.
-                rate_limited_log.log(logging.WARNING, "could not accept a client: %s", e)
-                await asyncio.sleep(ACCEPT_PAUSE)
-
-    async def _wait_for_clients(self) -> None:
-        """Wait for a client in the backlog.
-
-        The socket is polled only here: a full router that watched it all the time would run a busy loop.
-        """
-        self.accept_ready.clear()
-        self.loop.add_reader(self.socket.fileno(), self.accept_ready.set)
-        try:
-            await self.accept_ready.wait()
-        finally:
-            if self.socket.fileno() >= 0:
-                self.loop.remove_reader(self.socket.fileno())
-
-    async def _accept_one(self) -> bool:
-        """Accept a client and make room for it; return False if none is waiting.
-
-        Raises:
-            OSError: the system lacks the resources, and an immediate retry would fail as well.
-        """
-        try:
-            client, _ = self.socket.accept()
-        except BlockingIOError:
-            return False
-        except OSError as e:
-            self.consecutive_accept_failures += 1
-            # If the error turns out to be permanent, the caller's pause prevents a busy loop.
-            if e.errno not in SINGLE_CLIENT_ERRORS or self.consecutive_accept_failures % MAX_ACCEPTS == 0:
-                raise
-            rate_limited_log.log(logging.INFO, "a client's connection ended before it was accepted: %s", e)
-            return True
-        self.consecutive_accept_failures = 0
+        self.acceptor = Acceptor(self.socket, self._take_client)
+        self.tasks = [
+            asyncio.create_task(self.acceptor.run()),
+            asyncio.create_task(self._enforce_time_limits()),
+        ]
+
+    async def _take_client(self, client: socket.socket) -> None:
+        """Set up the connection of an accepted client, and make room for it."""
         if self.holds_address is not None and not self.holds_address():
             # This process was suspended and has lost the service address; the client meant its present
             # holder.
             client.close()
-            return True
-        try:
-            client.setblocking(False)
-            # Without this option the system delays small answers until the one before is acknowledged; event
-            # loops set it only on sockets created with an explicit protocol.
-            client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        except OSError as e:
-            rate_limited_log.log(logging.INFO, "a client's connection ended as it was accepted: %s", e)
-            client.close()
-            return True
+            return
         connection = ClientConnection(self.host, self, client)
-        self.setting_up.add(connection)
-        task = self.loop.create_task(self._set_up(connection, client))
-        self.setup_tasks.add(task)
-        task.add_done_callback(self.setup_tasks.discard)
+        self.setting_up[connection] = self.loop.create_task(self._set_up(connection, client))
         await self._make_room()
-        return True
 
     async def _set_up(self, connection: ClientConnection, client: socket.socket) -> None:
         try:
@@ -198,11 +123,12 @@
         except OSError as e:
             rate_limited_log.log(logging.INFO, "a client's connection ended as it began: %s", e)
         finally:
-            self.setting_up.discard(connection)
+            self.setting_up.pop(connection, None)
+            self.state_changed.set()
 
     def add(self, connection: ClientConnection) -> None:
         """Add a connection that has been set up."""
-        self.setting_up.discard(connection)
+        self.setting_up.pop(connection, None)
         self.connections[connection] = None
         self.update_state(connection)
 
@@ -383,7 +309,7 @@
 
     async def wait_drained(self) -> None:
         """Wait until no client is connected any more, during a drain."""
-        while self.connections or self.setup_tasks:
+        while self.connections or self.setting_up:
             self.state_changed.clear()
             await self.state_changed.wait()
 
@@ -445,7 +371,7 @@
         self.host.set_answer_deadline(time_limit - (loop.time() - started_at))
         with suppress(TimeoutError):
             async with asyncio.timeout(time_limit - (loop.time() - started_at)):
-                while self.connections or self.setup_tasks:
+                while self.connections or self.setting_up:
                     self.state_changed.clear()
                     self._close_idle()
                     with suppress(TimeoutError):
--- a/tests/test_net_errors.py
+++ b/tests/test_net_errors.py
@@ -12,8 +12,8 @@
 import pytest
 
 from myrtlecourse import interface as api
-from myrtlecourse.net import listener as listeners
-from myrtlecourse.net.listener import SINGLE_CLIENT_ERRORS
+from myrtlecourse.net import acceptor
+from myrtlecourse.net.acceptor import SINGLE_CLIENT_ERRORS
 from myrtlecourse.net.pool import LOCAL_SHORTAGE_ERRORS
 from myrtlecourse.net.request_log import requests_log
 from myrtlecourse.net.transport import Transport
@@ -82,12 +82,12 @@
     code: int, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Without descriptors, the accept loop must neither end nor become a busy loop."""
-    monkeypatch.setattr(listeners, "ACCEPT_PAUSE", 0.01)
+    monkeypatch.setattr(acceptor, "ACCEPT_PAUSE", 0.01)
 
     async def scenario() -> None:
         async with Router() as router:
             failing: Any = FailingSocket(router.listener.socket, [code, code])
-            router.listener.socket = failing
+            router.listener.acceptor.listening = failing
             assert await ping(router) and await ping(router)
             assert not failing.errors
             # the failed calls, and for each client one that finds no further client
@@ -99,7 +99,7 @@
 @pytest.mark.parametrize("code", SHORTAGES, ids=lambda c: errno.errorcode[c])
 def test_a_shortage_is_waited_out(code: int, monkeypatch: pytest.MonkeyPatch) -> None:
     pause = 0.0123  # a value that no other pause has
-    monkeypatch.setattr(listeners, "ACCEPT_PAUSE", pause)
+    monkeypatch.setattr(acceptor, "ACCEPT_PAUSE", pause)
     pauses: list[float] = []
     sleep = asyncio.sleep
 
@@ -111,7 +111,7 @@
         async with Router() as router:
             monkeypatch.setattr(asyncio, "sleep", noted)
             failing: Any = FailingSocket(router.listener.socket, [code] * 5)
-            router.listener.socket = failing
+            router.listener.acceptor.listening = failing
             assert await ping(router)
             assert pauses.count(pause) == 5
 
@@ -119,15 +119,15 @@
 
 
 def test_a_failure_that_lasts_is_not_tried_again_without_a_pause(monkeypatch: pytest.MonkeyPatch) -> None:
-    monkeypatch.setattr(listeners, "ACCEPT_PAUSE", 0.02)
+    monkeypatch.setattr(acceptor, "ACCEPT_PAUSE", 0.02)
 
     async def scenario() -> None:
         async with Router() as router:
             failing: Any = FailingSocket(router.listener.socket, [errno.EPERM] * 100_000)
-            router.listener.socket = failing
+            router.listener.acceptor.listening = failing
             client = await router.client()
             await asyncio.sleep(0.2)
-            assert 0 < failing.calls <= 12 * listeners.MAX_ACCEPTS
+            assert 0 < failing.calls <= 12 * acceptor.MAX_ACCEPTS
             failing.errors.clear()
             client.write(command("PING"))
             assert await client.resp() == b"PONG"
@@ -140,11 +140,11 @@
         async with Router() as router:
             failing: Any = FailingSocket(router.listener.socket, [])
             failing.options_fail = 1
-            router.listener.socket = failing
+            router.listener.acceptor.listening = failing
             gone = await router.client()
             assert await gone.ended()
             assert await ping(router)
-            assert len(router.listener.connections) + len(router.listener.setup_tasks) <= 1
+            assert len(router.listener.connections) + len(router.listener.setting_up) <= 1
 
     run(scenario)
 
--- a/tests/test_net_host.py
+++ b/tests/test_net_host.py
@@ -772,7 +772,7 @@
             for client in clients:
                 client.write(command("PING"))
             assert {bytes(await client.resp()) for client in clients} == {b"PONG"}
-            assert len(router.listener.connections) == 150 and not router.listener.setup_tasks
+            assert len(router.listener.connections) == 150 and not router.listener.setting_up
             for client in clients:
                 client.close()
 
