--- a/myrtlecourse/net/connection.py
+++ b/myrtlecourse/net/connection.py
@@ -16,6 +16,7 @@
 from myrtlecourse.net.exchange import Exchange
 from myrtlecourse.net.rate_limited_log import RateLimitedLog
 from myrtlecourse.net.request_log import CloseReason, requests_log
+from myrtlecourse.net.reuse_delay import MIN_REUSE_DELAY
 from myrtlecourse.net.transport import Transport
 
 if TYPE_CHECKING:
@@ -60,6 +61,8 @@
     # Seconds that an exchange waits for a connection that may be reused soon. The wait counts as silence of
     # the server: with a server that answers in milliseconds, a longer one looks like a lost attempt.
     max_reuse_wait: ClassVar[float] = 0.002
+    # seconds for which a connection stays unused after an answer while there are descriptors for others
+    usual_reuse_delay: ClassVar[float] = MIN_REUSE_DELAY
 
     def __init__(self, pool: Pool, address: str) -> None:
         self.pool = pool
--- a/myrtlecourse/net/pool.py
+++ b/myrtlecourse/net/pool.py
@@ -40,7 +40,7 @@
 
     def __init__(
         self,
-        make_connection: Callable[[Pool, str], Connection],
+        make_connection: type[Connection],
         budget: int,
         dial_timeout: float,
         server_idle_timeout: float,
@@ -61,7 +61,7 @@
         self.wait_queues: dict[str, deque[tuple[object, Exchange]]] = {}
         # by address: starts the exchanges that wait once a connection may be reused
         self.reuse_timers: dict[str, asyncio.TimerHandle] = {}
-        self.reuse_delay = ReuseDelay()
+        self.reuse_delay = ReuseDelay(make_connection.usual_reuse_delay)
         self.idle: dict[Connection, None] = {}  # the longest idle first
         self.idle_by_address: dict[str, dict[Connection, None]] = {}  # the same connections, by address
         self.idle_timer: asyncio.TimerHandle | None = None  # closes connections that are idle for too long
@@ -218,7 +218,17 @@
         """Return when an idle connection may carry another request; it may at once if it carried none."""
         if not connection.requests_written:
             return connection.idle_since
-        return connection.idle_since + self.reuse_delay.seconds(now)
+        delay = self.reuse_delay.seconds(now)
+        if now < connection.idle_since + delay and self._is_short_of_descriptors():
+            delay = self.reuse_delay.seconds(now, scarce=True)
+        return connection.idle_since + delay
+
+    def _is_short_of_descriptors(self) -> bool:
+        """Return whether a dial would have to take the descriptor of another connection."""
+        return (
+            self.descriptors_used() >= self.budget
+            or self.descriptors.descriptors_used() >= self.descriptors.total
+        )
 
     def _acquire_idle(self, address: str, process: object) -> Connection | None:
         """Remove and return the connection to a process that is idle for longest, if it may be reused.
--- a/myrtlecourse/net/servers.py
+++ b/myrtlecourse/net/servers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import re
+from typing import ClassVar
 
 from myrtlecourse.interface import Status
 from myrtlecourse.net.command import MAX_BUFFERED_ANSWER, Command
@@ -24,6 +25,9 @@
 class CacheConnection(Connection):
     """A connection to a cache server."""
 
+    # Cache servers take many connections, so that others can carry requests meanwhile.
+    usual_reuse_delay: ClassVar[float] = 0.025
+
     def __init__(self, pool: Pool, address: str) -> None:
         super().__init__(pool, address)
         self.reader = Reader(MAX_ITEMS, MAX_BUFFERED_ANSWER, MAX_ANSWER)
