Check each close of a client's connection against what its reason allows to be owed

Change: closes, aborts and ends of lingering pass one place, net/client_closes.py, which knows for each reason how many answers and untaken bytes may be owed. Connections to servers are not checked yet.

--- a/myrtlecourse/net/clients.py
+++ b/myrtlecourse/net/clients.py
@@ -9,12 +9,13 @@
 from typing import TYPE_CHECKING, cast
 
 from myrtlecourse.net.answer_slot import AnswerSlot
+from myrtlecourse.net.client_closes import record_close, record_unexpected_end
 from myrtlecourse.net.command import MAX_INFO, MAX_KEY, MAX_VALUE, CommandError, read_command
 from myrtlecourse.net.connection import has_unread_input
 from myrtlecourse.net.delivery import DeliveryProgress, untaken_bytes
 from myrtlecourse.net.hangup import has_hung_up
 from myrtlecourse.net.host import Host, busy_answer
-from myrtlecourse.net.request_log import CloseReason, requests_log
+from myrtlecourse.net.request_log import CloseReason
 from myrtlecourse.net.resp import INCOMPLETE, Message, Reader, RespError, split_command
 from myrtlecourse.net.tcp_info import data_age
 from myrtlecourse.net.transport import Transport
@@ -259,7 +260,9 @@
 
     def abort(self, reason: CloseReason) -> None:
         """Close the connection at once."""
-        requests_log.connection_closed("client", self.descriptor, reason, len(self.slots))
+        if not self.transport.is_closing():
+            untaken = untaken_bytes(self.transport) - int(self.half_closed)
+            record_close(self.descriptor, reason, len(self.slots), untaken)
         self.transport.abort()
 
     def ending(self) -> bool:
@@ -274,7 +277,7 @@
         """
         if self.ending():
             return
-        requests_log.connection_closed("client", self.descriptor, reason, len(self.slots))
+        record_close(self.descriptor, reason, len(self.slots), 0)
         self.no_more_commands = self.half_closed = True
         self.reader.buffer.clear()
         self._release_reservation()
@@ -282,7 +285,7 @@
         try:
             self.transport.write_eof()
         except OSError:  # the client has just reset the connection
-            self.transport.abort()
+            self.abort(CloseReason.CLIENT_LEFT)
             return
         self.update_reading()
         progress = DeliveryProgress(self.transport, self.listener.loop.time())
@@ -293,7 +296,7 @@
         if self.transport.is_closing():
             return
         if not self.owes_bytes():
-            self.transport.abort()
+            self.abort(CloseReason.LINGER_ENDED)
             return
         now = self.listener.loop.time()
         if now - progress.since >= self.listener.delivery_interval():
@@ -311,7 +314,7 @@
         """Cancel the requests of a client that has hung up; written bytes are still sent for a while."""
         self.cancel_requests()
         if not self.half_closed:
-            self.listener.loop.call_later(LINGER_TIME, self.transport.abort)
+            self.listener.loop.call_later(LINGER_TIME, self.abort, CloseReason.CLIENT_LEFT)
 
     def check_connected(self, recently_read: bool = True) -> bool:
         """Return whether the client is still connected; a hang-up that the event loop has not reported yet
@@ -377,4 +380,6 @@
     def connection_lost(self, exc: Exception | None) -> None:
         self.listener.hang_up_monitor.remove(self)
         self.listener.remove(self)
+        if exc is not None and not isinstance(exc, OSError):
+            record_unexpected_end(len(self.slots), exc)
         self.cancel_requests()
--- a/tests/soak_wrong.py
+++ b/tests/soak_wrong.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+import itertools
 import os
 import sys
 from typing import Any
 
 from myrtlecourse import __main__ as program
 from myrtlecourse.net import host
+from myrtlecourse.net.clients import ClientConnection
+from myrtlecourse.net.request_log import CloseReason
 from myrtlecourse.net.reuse_delay import ReuseDelay
 from myrtlecourse.service import Service
 
@@ -47,7 +50,27 @@
     ReuseDelay.seconds = lambda self, now, scarce=False: 0.0  # type: ignore[method-assign]
 
 
-VARIANTS = (ends_at_once, misses_deadlines, tells_deadlines_late, forgets_drains, reuses_connections_at_once)
+def closes_connections_that_owe() -> None:
+    """Closes the connections of a share of clients as idle while they wait for an answer."""
+    original_process = ClientConnection._process_command
+    commands = itertools.count()
+
+    def process_and_close(self: ClientConnection, parts: Any) -> None:
+        original_process(self, parts)
+        if next(commands) % 50 == 49 and self.slots:
+            self.close(CloseReason.IDLE)
+
+    ClientConnection._process_command = process_and_close  # type: ignore[method-assign]
+
+
+VARIANTS = (
+    closes_connections_that_owe,
+    ends_at_once,
+    misses_deadlines,
+    tells_deadlines_late,
+    forgets_drains,
+    reuses_connections_at_once,
+)
 
 if __name__ == "__main__":
     next(variant for variant in VARIANTS if variant.__name__ == sys.argv[1])()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -133,3 +133,11 @@
     command = shlex.join([sys.executable, "-m", "tests.soak_wrong", variant])
     result = run_case(case, tmp_path / "day", None, command)
     assert breach in result.breaches, result.summary_line()
+
+
+@pytest.mark.processes
+def test_a_router_that_closes_connections_that_owe_answers_is_caught_by_its_own_log(tmp_path: Path) -> None:
+    command = shlex.join([sys.executable, "-m", "tests.soak_wrong", "closes_connections_that_owe"])
+    result = run_case(draw_case(1, SECONDS), tmp_path / "day", None, command)
+    assert result.breaches.get("lost"), result.summary_line()
+    assert any("closed a client's connection that was owed 1 answers" in fault for fault in result.faults)
