Write the listed ids one file at a time

Cause: a disk that takes over 0.5 s leaves a write in its thread while the next begins, and both write the same temporary file. Change: the next waits for the last one's end.

--- a/myrtlecourse/ops/listed_servers.py
+++ b/myrtlecourse/ops/listed_servers.py
@@ -56,6 +56,7 @@
         self.path = folder / "myrtlecourse-listed.json" if folder is not None else None
         self.listed = listed
         self.timer: asyncio.TimerHandle | None = None
+        self.write: asyncio.Future[None] | None = None  # the latest write
 
     def load(self) -> None:
         """Record the ids that the process before has written, as listed before all others."""
@@ -91,9 +92,12 @@
 
     def _save(self, path: Path) -> None:
         self.timer = None
+        if self.write is not None and not self.write.done():
+            self.save_soon()  # two writes at a time would spoil each other's file
+            return
         text = orjson.dumps({"version": VERSION, "listed": self.listed.cache_by_id})
         # A disk that takes long must not hold up requests.
-        asyncio.get_running_loop().run_in_executor(None, replace_listed, path, text)
+        self.write = asyncio.get_running_loop().run_in_executor(None, replace_listed, path, text)
 
     def close(self) -> None:
         """Write no more."""
--- a/tests/test_ops_listed.py
+++ b/tests/test_ops_listed.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import threading
 from pathlib import Path
 
 import orjson
@@ -76,6 +77,35 @@
     assert "can't be used" in caplog.text
 
 
+# guards against a torn file where a slow disk holds up a write until the next one begins
+def test_a_write_begins_only_when_the_last_one_has_ended(
+    tmp_path: Path, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    texts: list[bytes] = []
+    may_end = threading.Event()
+
+    def write_slowly(path: Path, text: bytes) -> None:
+        texts.append(text)
+        assert may_end.wait(10.0)
+
+    async def scenario() -> None:
+        file = ListedServersFile(tmp_path, ListedServers())
+        for name in ("a", "b"):
+            file.listed.record([(name, True)])
+            file.save_soon()
+            await asyncio.sleep(0.05)
+        assert len(texts) == 1
+        may_end.set()
+        while len(texts) < 2:
+            await asyncio.sleep(0.001)
+        assert b'"b"' in texts[1]
+        file.close()
+
+    monkeypatch.setattr(module, "SAVE_DELAY", 0.001)
+    monkeypatch.setattr(module, "replace_listed", write_slowly)
+    asyncio.run(scenario())
+
+
 def test_without_a_folder_or_a_file_nothing_is_loaded(
     tmp_path: Path, caplog: pytest.LogCaptureFixture
 ) -> None:
