Take the time of arrival from one function in the stand-in fleet and the load generator

Need: both computed it from the kernel's age of data in the same lines. Change: structure only, tcp_info.arrival_time.

--- a/myrtlecourse/fleet/ports.py
+++ b/myrtlecourse/fleet/ports.py
@@ -17,7 +17,7 @@
 from typing import cast
 
 from myrtlecourse.fleet.reserved_ports import ReservedPort, reserve
-from myrtlecourse.net.tcp_info import data_age
+from myrtlecourse.net.tcp_info import arrival_time
 
 BACKLOG = 1024
 SO_ATTACH_FILTER, SO_DETACH_FILTER = 26, 27  # Linux (socket(7)); the socket module has no names for them
@@ -122,14 +122,13 @@
         self.cut_at = None
 
     def _arrival_time(self) -> float:
-        """Return when the data that is read now arrived; this process may have been held up since.
+        """Return when the data that is read now arrived.
 
         The first data after a cut was written during the cut, although the sender's kernel delivers it now.
         """
         if self.cut_at is not None:
             return self.cut_at
-        now = time.monotonic()
-        return now - (data_age(socket_of(self.transport)) or 0.0)
+        return arrival_time(socket_of(self.transport))
 
     def _receive(self, data: bytes, began: float) -> None:
         if self.open:
--- a/myrtlecourse/load/client.py
+++ b/myrtlecourse/load/client.py
@@ -12,7 +12,7 @@
 
 from myrtlecourse.net.dial import open_in_time
 from myrtlecourse.net.resp import INCOMPLETE, Message, Reader, RespError
-from myrtlecourse.net.tcp_info import data_age
+from myrtlecourse.net.tcp_info import arrival_time
 
 MAX_ANSWER = 16 * 1024 * 1024  # bytes; an answer that announces more is rejected before it is read
 MAX_ITEMS = 16  # items of an answer that is an array
@@ -71,7 +71,7 @@
             self.transport.abort()
             return
         if message is not INCOMPLETE:
-            self.answered_at = self._arrival_time()
+            self.answered_at = time.monotonic() if self.socket is None else arrival_time(self.socket)
             on_reply, self.on_reply = self.on_reply, None
             reused, self.reused = self.reused, True
             # Bytes beyond the answer would be taken for the answer to the next request.
@@ -82,12 +82,6 @@
                 self.pool.release(self)
             on_reply(message, reused)
 
-    def _arrival_time(self) -> float:
-        """Return when the data that is read now arrived; this process may have been held up since."""
-        now = time.monotonic()
-        age = None if self.socket is None else data_age(self.socket)
-        return now - (age or 0.0)
-
     def connection_lost(self, exc: Exception | None) -> None:
         if self.dial_given_up:
             return  # the pool has counted it as failed
--- a/myrtlecourse/net/tcp_info.py
+++ b/myrtlecourse/net/tcp_info.py
@@ -4,6 +4,7 @@
 
 import socket
 import sys
+import time
 
 # offsets of 32-bit fields in tcp_info
 RTO_OFFSET = 8  # retransmission timeout in microseconds
@@ -24,3 +25,12 @@
     if not any(info[RTO_OFFSET : RTO_OFFSET + FIELD_SIZE]):
         return None
     return int.from_bytes(info[LAST_DATA_OFFSET:], sys.byteorder) / 1000
+
+
+def arrival_time(connection: socket.socket) -> float:
+    """Return when the data that is read now arrived, on the monotonic clock; now, if the kernel does not say.
+
+    This process may have been held up between its arrival and its reading.
+    """
+    now = time.monotonic()
+    return now - (data_age(connection) or 0.0)
