Remember every server of a long list: offline answered 404 for those listed first

What callers saw (by reading, forced by a test): with a list of 6,700 servers `offline` answered 404 for 2,604 listed ones, and each whole list counted as news for the file of listed ids.

Cause: the ids of lists were bounded at 4,096, below what a list of discovery may hold (4 MiB).

Change: 32,768 ids. Ruled out: no bound, as a fleet that replaces its servers lists new ids for ever.

--- a/myrtlecourse/ops/listed_servers.py
+++ b/myrtlecourse/ops/listed_servers.py
@@ -15,7 +15,9 @@
 
 import orjson
 
-MAX_LISTED = 4096  # ids that are remembered; beyond that, those listed longest ago are forgotten
+# ids that are remembered, more than a list of `discovery.MAX_LIST` bytes names; beyond that, those listed
+# longest ago are forgotten
+MAX_LISTED = 32 * 1024
 MAX_FILE_SIZE = 4 * 1024 * 1024  # bytes
 VERSION = 1
 SAVE_DELAY = 0.5  # seconds in which further new ids join a write
--- a/tests/test_ops_listed.py
+++ b/tests/test_ops_listed.py
@@ -25,6 +25,15 @@
     assert listed.refusal_reason("a") == "" and listed.refusal_reason("o")  # o was named longest ago
 
 
+# guards against a 404 for servers of a long list, of which only the last 4,096 were remembered
+def test_each_server_of_a_long_list_may_be_taken_out() -> None:
+    listed = ListedServers()
+    names = [f"s-{number:08x}" for number in range(6_700)]
+    listed.record((name, True) for name in names)
+    assert not [name for name in names if listed.refusal_reason(name)]
+    assert not listed.record((name, True) for name in names)  # none is new when the list comes again
+
+
 def save(folder: Path, ids: list[tuple[str, bool]]) -> ListedServersFile:
     """Write ids as a process does that has just got a list with them."""
 
