Wait for the body of a long answer up to its deadline: sound ones were cut 0.6 s after their head

Cause: Connection._on_answer_timeout ended a long answer after two timers of 0.3 s without a byte, before any of it was passed on; each further attempt ended alike, until the retry budget was spent. Related: a short answer was ended 0.1 s after its first byte even while bytes came, and up to 16 KiB of a slow one were held back for longer than 2 s. Ruled out: limits of the decision module, which sends none with its attempts. Change: silence within an answer is told to the decision module (AnswerStalled), which may start a second attempt beside the first, or in place of a short one where second copies are not allowed. Only the deadline ends the attempt; a long answer that has begun by then is passed on from there, as its first bytes are in time. Bytes are held back for 1.5 s at most.

--- a/myrtlecourse/interface.py
+++ b/myrtlecourse/interface.py
@@ -251,6 +251,18 @@
     read_delay: float = 0.0  # seconds for which these bytes lay unread, as the host's process was busy
 
 
+@dataclass(slots=True, frozen=True)
+class AnswerStalled:
+    """The answer of an attempt has begun, and its server has given no more of it for a while.
+
+    `replaceable`: a whole answer from elsewhere would do as well; a long one may be on its way to the client.
+    """
+
+    request: str
+    attempt: int
+    replaceable: bool
+
+
 @dataclass(slots=True, unsafe_hash=True, init=False)
 class Outcome:
     """The end of an attempt; `latency` is in seconds. `request_ended`: the request has ended, too."""
@@ -375,6 +387,7 @@
     | ZonePreferences
     | Request
     | Streaming
+    | AnswerStalled
     | Outcome
     | ClientGone
     | TimerFired
--- a/myrtlecourse/net/connection.py
+++ b/myrtlecourse/net/connection.py
@@ -22,12 +22,13 @@
 if TYPE_CHECKING:
     from myrtlecourse.net.pool import Pool
 
-ANSWER_TIMEOUT = 0.1  # seconds for the rest of an answer that has begun; servers send an answer at once
-# Seconds without data after which a long answer is given up while nothing of it has been forwarded: another
-# server may still answer.
-STREAM_START_TIMEOUT = 0.3
-# The same once bytes have been forwarded to the client: giving up would leave it with an incomplete answer.
+# Seconds without data after which an answer that has begun counts as stalled, so that the decision module may
+# start another attempt. The deadline of its request ends it: its server may just be slow to give it.
+ANSWER_TIMEOUT = 0.1
+STREAM_START_TIMEOUT = 0.3  # the same for a long answer, of which nothing is being forwarded yet
+# seconds without data after which a long answer is given up that is being forwarded to the client
 STREAM_STALL_TIMEOUT = 3.0
+MAX_HOLD_TIME = 1.5  # seconds for which bytes of a long answer are held back at most
 READ_SIZE = 64 * 1024  # bytes read at once, which are kept while a client does not read its long answer
 MIN_STREAM_START = 16 * 1024  # bytes of a long answer that must have arrived before any is forwarded
 PEER_CLOSED_EVENTS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
@@ -75,7 +76,8 @@
         self.first_exchange: Exchange | None = None  # the one for which the connection was dialled
         self.connected = False
         self.dial_given_up = False  # its transport is closed as soon as there is one
-        self.answer_timer: asyncio.TimerHandle | None = None  # limits the time of an answer that has begun
+        self.answer_timer: asyncio.TimerHandle | None = None  # limits the silence of an answer that has begun
+        self.hold_timer: asyncio.TimerHandle | None = None  # limits how long a long answer is held back
         self.idle_since = time.monotonic()  # when it was made, or its last answer was complete
         # length of the long value that is being received, or 0; `decode` sets it and appends to `chunks`
         self.stream_length = 0
@@ -228,25 +230,45 @@
         """Forward the received chunks of a long value; return False if it is no longer wanted.
 
         Nothing is forwarded before `MIN_STREAM_START` bytes have arrived: a wrong length would cost the
-        client's connection, and until then another server may be asked.
+        client's connection, and until then another server may be asked. Bytes that come slowly are held back
+        for a limited time.
         """
-        receiver = exchange.receiver
         if not self.streaming:
             if sum(map(len, self.chunks)) < MIN_STREAM_START:
+                if any(self.chunks) and self.hold_timer is None:
+                    loop = asyncio.get_running_loop()
+                    self.hold_timer = loop.call_later(MAX_HOLD_TIME, self._end_hold, exchange)
                 return True
-            if receiver is None:
-                raise MalformedAnswer(f"value of {self.stream_length} bytes can't be streamed here")
-            self.streaming = receiver.begin_stream(self.stream_length, exchange)
-            if not self.streaming:
-                exchange.abandon()
+            self._begin_stream(exchange)
+        receiver = exchange.receiver
         chunks, self.chunks = self.chunks, []
         for chunk in chunks:
             if receiver is not None and exchange.open:
                 receiver.write_chunk(chunk)
         return exchange.open
 
+    def _begin_stream(self, exchange: Exchange) -> None:
+        self._cancel_hold_timer()
+        self.cancel_answer_timer()  # a limit of another length holds from now on
+        if exchange.receiver is None:
+            raise MalformedAnswer(f"value of {self.stream_length} bytes can't be streamed here")
+        self.streaming = exchange.receiver.begin_stream(self.stream_length, exchange)
+        if not self.streaming:
+            exchange.abandon()
+
+    def _end_hold(self, exchange: Exchange) -> None:
+        self.hold_timer = None
+        if self.exchange is exchange and not self.streaming:
+            self.forward_held(exchange)
+
+    def forward_held(self, exchange: Exchange) -> None:
+        """Begin to forward the long value that is being received, however little of it has arrived."""
+        self._begin_stream(exchange)
+        if self._forward_chunks(exchange):
+            self._arm_answer_timer(exchange)
+
     def _arm_answer_timer(self, exchange: Exchange) -> None:
-        """Limit the time for the rest of an answer: one announced as longer than it is would never end."""
+        """Limit the silence of an answer: one announced as longer than it is would never end."""
         self.progressed = True
         if self.answer_timer is None and not self.paused:
             timeout = (
@@ -262,9 +284,13 @@
 
     def _on_answer_timeout(self, exchange: Exchange) -> None:
         self.answer_timer = None
-        if self.stream_length and self.progressed:
+        if self.progressed:
             self._arm_answer_timer(exchange)
             self.progressed = False
+            return
+        receiver = exchange.receiver
+        if not self.streaming and receiver is not None:
+            receiver.on_answer_stalled(replaceable=not self.stream_length)
         else:
             self._reject_answer(exchange, MalformedAnswer("incomplete when its time limit was reached"))
 
@@ -290,6 +316,7 @@
                 answer = (Status.CONNECT_FAILED, b"")
             self.resume()
             self.cancel_answer_timer()
+            self._cancel_hold_timer()
             self.exchange = None
             self.stream_length = 0
             self.streaming = False
@@ -321,6 +348,16 @@
         self.drop(CloseReason.UNUSABLE_ANSWER)
         exchange.finish(Status.ERROR)
 
+    def _cancel_hold_timer(self) -> None:
+        if self.hold_timer is not None:
+            self.hold_timer.cancel()
+            self.hold_timer = None
+
+    def cancel_timers(self) -> None:
+        """Cancel the time limits of an answer."""
+        self.cancel_answer_timer()
+        self._cancel_hold_timer()
+
     def cancel_answer_timer(self) -> None:
         if self.answer_timer is not None:
             self.answer_timer.cancel()
--- a/myrtlecourse/net/exchange.py
+++ b/myrtlecourse/net/exchange.py
@@ -25,6 +25,13 @@
     def send_time_left(self) -> float:
         """Return the seconds within which the last byte of the request must be sent."""
 
+    def on_answer_stalled(self, replaceable: bool) -> None:
+        """Handle that an answer has begun, of which nothing more has come for a while.
+
+        Args:
+            replaceable: whether another server's answer may take its place; a long one may be on its way.
+        """
+
     def begin_stream(self, length: int, source: Exchange) -> bool:
         """Begin a streamed value of `length` bytes; return False if it is no longer wanted."""
 
@@ -67,6 +74,14 @@
             self.time_left = self.receiver.time_left()
         return self.open
 
+    def forward_held(self) -> bool:
+        """Begin to forward a long answer that has begun; return False if none has."""
+        connection = self.connection
+        if not self.open or connection is None or not connection.stream_length:
+            return False
+        connection.forward_held(self)
+        return True
+
     def pause(self) -> None:
         """Stop reading the answer, which its client does not read at present."""
         if self.open and self.connection is not None:
--- a/myrtlecourse/net/host.py
+++ b/myrtlecourse/net/host.py
@@ -358,6 +358,8 @@
     def _on_deadline(self, request_id: str) -> None:
         """Time out the open attempts of a request at its deadline."""
         request = self.requests[request_id]
+        if request.streaming_attempt is None:
+            self._forward_held_answer(request)
         # A streamed answer whose first bytes were in time goes on while it makes progress.
         streaming = request.streaming_attempt if request.answer_sink.may_continue_late() else None
         request.deadline_passed = True
@@ -366,6 +368,12 @@
             self._check_stream_later(request)
         self._time_out_attempts(request, streaming)
 
+    def _forward_held_answer(self, request: RequestInFlight) -> None:
+        """Begin to forward a long answer that has begun: its first bytes are still in time."""
+        for attempt in list(request.open_attempts.values()):
+            if attempt.exchange is not None and attempt.exchange.forward_held():
+                return
+
     def _check_stream_later(self, request: RequestInFlight) -> None:
         request.deadline_timer = self.timers.call_later(
             STREAM_CHECK_INTERVAL, self._check_stream, request.request_id
--- a/myrtlecourse/net/in_flight.py
+++ b/myrtlecourse/net/in_flight.py
@@ -102,6 +102,10 @@
         """Return the seconds within which the last byte of the request must be sent."""
         return self.send_deadline - self.host.clock.now()
 
+    def on_answer_stalled(self, replaceable: bool) -> None:
+        """Tell the decision module, which may start another attempt."""
+        self.host.post(api.AnswerStalled(self.request.request_id, self.number, replaceable))
+
     def begin_stream(self, length: int, source: Exchange) -> bool:
         """Begin to stream a value of `length` bytes to the client; return False if it is no longer wanted."""
         return self.host.begin_stream(self.request, self, length, source)
--- a/myrtlecourse/policy/router.py
+++ b/myrtlecourse/policy/router.py
@@ -6,16 +6,15 @@
 from __future__ import annotations
 
 from myrtlecourse import interface as api
-from myrtlecourse.evidence import FAILURE_STATUSES, SMOOTHING, UNANSWERED, Verdict, reachability_of
+from myrtlecourse.evidence import SMOOTHING, UNANSWERED, Verdict
 from myrtlecourse.policy import tuning
-from myrtlecourse.policy.limits import learn_limit
+from myrtlecourse.policy.outcomes import OutcomeLearning
 from myrtlecourse.policy.request_queue import RequestQueue
-from myrtlecourse.policy.selection import ServerSelection
 from myrtlecourse.policy.state import Attempt, PendingRequest, Server
 from myrtlecourse.policy.zone_exit import ZoneExitControl
 
 
-class Router(ServerSelection):
+class Router(OutcomeLearning):
     """The decisions of one router."""
 
     def __init__(
@@ -26,9 +25,8 @@
         admission: api.AdmissionControl | None = None,
         observer: api.ReachabilityObserver | None = None,
     ) -> None:
-        super().__init__(settings, seed, now)
+        super().__init__(settings, seed, now, observer)
         self.admission = admission
-        self.observer = observer
         self.accepting = True  # whether it accepts new requests
         self.requests: dict[str, PendingRequest] = {}
         self.attempts: dict[tuple[str, int], Attempt] = {}
@@ -82,10 +80,16 @@
             self._rebuild_ring()
         elif isinstance(event, api.ClientGone) and event.request in self.requests:
             self._remove(self.requests[event.request])
-        elif isinstance(event, api.Streaming):
-            self._on_streaming(event)
+        elif isinstance(event, (api.Streaming, api.AnswerStalled)):
+            self._on_answer_begun(event)
         return self.actions
 
+    def _on_answer_begun(self, event: api.Streaming | api.AnswerStalled) -> None:
+        if isinstance(event, api.Streaming):
+            self._on_streaming(event)
+        else:
+            self._on_answer_stalled(event)
+
     def _on_streaming(self, event: api.Streaming) -> None:
         """Release the slot as an answer starts, as slow clients would hold it long; cancel other attempts."""
         answered = self.attempts.get((event.request, event.attempt))
@@ -101,6 +105,20 @@
                     self.actions.append(api.Cancel(event.request, other))
         self._serve_queue()
 
+    def _on_answer_stalled(self, event: api.AnswerStalled) -> None:
+        """Send another attempt beside or after a first one whose answer stalls, while the budget lasts."""
+        pending = self.requests.get(event.request)
+        if pending is None or pending.queued or pending.streaming or len(pending.attempts) > 1:
+            return
+        first = pending.attempts[0]
+        if not first.open or self.now >= pending.deadline or self.retry_budget < 1:
+            return
+        if self._send_again(pending, first) or not event.replaceable or not self.settings.may_cancel:
+            return
+        # without it the repeat would not be permitted; its outcome starts one
+        if pending.request_class.effect is api.Effect.SAFE:
+            self.actions.append(api.Cancel(event.request, event.attempt))
+
     def _on_ban_change(self, event: api.ServerBanned | api.BanLifted) -> None:
         """Apply a ban or lift it; lifting ends all bans of a server and voids what was learned of it."""
         if isinstance(event, api.ServerBanned):
@@ -374,33 +392,6 @@
         if not attempt.server.is_cache:
             self._serve_queue()
 
-    def _learn_from(self, attempt: Attempt, status: api.Status, latency: float) -> Verdict:
-        """Learn from an attempt's end or the start of a long answer, whose end then only shows a failure."""
-        server = attempt.server
-        if attempt.response_begun:
-            ended = Verdict.ANSWERED if status is api.Status.OK else Verdict.INCONCLUSIVE
-            return Verdict.FAILED if status in FAILURE_STATUSES else ended
-        verdict = server.evidence.judge(self.now, attempt.sent_at, status, latency)
-        if server.is_cache and (verdict is Verdict.ANSWERED or verdict is Verdict.CROWDED):
-            self.unit_latency += SMOOTHING * (latency / (1 + server.reported_load) - self.unit_latency)
-        learn_limit(self.now, attempt, verdict, latency)
-        return verdict
-
-    def _notify_observer(self, attempt: Attempt, event: api.Outcome, verdict: Verdict) -> None:
-        """Report an attempt's end once; one reported as overdue is reported again only if it is answered."""
-        proven, server = reachability_of(event.status, verdict), attempt.server
-        if self.observer is None or proven is None or (proven is api.Reachability.SILENT and attempt.overdue):
-            return
-        overloaded = (
-            verdict is Verdict.CROWDED
-            or proven is api.Reachability.ANSWERED
-            and event.latency > attempt.target_latency
-        )
-        missed = event.status is api.Status.MISS
-        self.observer.attempt_ended(
-            self.now, server.entry.zone, not server.is_cache, proven, overloaded, missed
-        )
-
     def _after_failure(self, pending: PendingRequest, event: api.Outcome) -> None:
         """Fetch from the origin after a miss; otherwise retry while the budget lasts."""
         if event.status is api.Status.MISS and self.settings.cache_aside:
--- a/tests/test_second_answers.py
+++ b/tests/test_second_answers.py
@@ -8,23 +8,17 @@
 from __future__ import annotations
 
 import asyncio
-import os
-import sys
 import time
-from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager, suppress
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from pathlib import Path
 from typing import Any
 
-import orjson
 import pytest
 
-from myrtlecourse.net.pool import parse_address
 from tests.loopback import MISS, Link, Peer, command, http, run
-from tests.test_main import GOOD
-from tests.test_net_discovery import ENTRY
-from tests.test_wirehost import CONF
+from tests.router_process import Servers, started
 
 TAKE_TIME = 0.005  # seconds from a request's last byte until its server takes it
 REFUSAL_TIME = 0.008  # seconds until a server turns away a request that is over
@@ -35,7 +29,6 @@
 DEADLINE_MS = 2000
 SETTLING_TIME = 0.5  # seconds after the last answer in which repeats that are still waiting are sent
 REQUESTS = 6
-ONCE = {"name": "once", "aim": 1.0, "giveUp": 3.0, "effect": "single_shot"}
 BUSY_ORIGIN = http("503 Service Unavailable", b"", "Not-Started: 1")
 pytestmark = pytest.mark.processes
 
@@ -66,12 +59,12 @@
         )
 
 
-class Fleet:
+class Fleet(Servers):
     """A cache server and an origin, of which one answers one request twice, and what clients observed."""
 
     def __init__(self, twice: tuple[str, str]) -> None:
+        super().__init__()
         self.twice = twice  # the server and the request that it answers twice
-        self.cache, self.origin, self.discovery = Peer(), Peer(), Peer()
         self.requests: dict[str, SentRequest] = {}
         self.first_answer_written = asyncio.Event()  # of the two
         self.tasks: set[asyncio.Task[None]] = set()
@@ -148,37 +141,6 @@
         return lines
 
 
-@asynccontextmanager
-async def started(fleet: Fleet, folder: Path) -> AsyncIterator[tuple[int, tuple[str, int]]]:
-    """Start a router process between clients and a fleet; yields its process id and its address."""
-    path, log = folder / "config.json", folder / "router.log"
-    entries = [
-        {**ENTRY, "name": "cache", "address": fleet.cache.address, "type": "std", "since_ms": 0},
-        {**ENTRY, "name": "origin", "address": fleet.origin.address, "type": "store", "since_ms": 0},
-    ]
-    config = {
-        **GOOD,
-        "listen": "127.0.0.1:0",
-        "discovery": fleet.discovery.address,
-        "settings": {**CONF, "classes": [*CONF["classes"], ONCE]},
-        "known": {"index": 1, "snapshot": True, "endpoints": entries},
-    }
-    path.write_bytes(orjson.dumps(config))
-    variables = {**os.environ, "RELAY_CONFIG": str(path), "MYRTLECOURSE_LOG": "requests"}
-    with log.open("wb") as out:
-        process = await asyncio.create_subprocess_exec(
-            sys.executable, "-m", "myrtlecourse", env=variables, stdout=out, stderr=out
-        )
-    try:
-        while b"listening on " not in (text := log.read_bytes()):
-            assert process.returncode is None, text.decode()[-2000:]
-            await asyncio.sleep(0.02)
-        yield process.pid, parse_address(text.split(b"listening on ")[1].split()[0].decode())
-    finally:
-        process.kill()
-        await process.wait()
-
-
 def play(fleet: Fleet, folder: Path, clients: Callable[[tuple[str, int]], Awaitable[None]]) -> list[str]:
     """Play the clients' requests against a router and return the breaches of rules."""
 
@@ -186,8 +148,8 @@
         async with fleet.cache, fleet.origin, fleet.discovery:
             fleet.run_in_background(fleet.serve(fleet.cache, fleet.serve_cache))
             fleet.run_in_background(fleet.serve(fleet.origin, fleet.serve_origin))
-            async with started(fleet, folder) as (_, address):
-                await clients(address)
+            async with started(fleet.configuration(), folder) as router:
+                await clients(router.address)
             for task in fleet.tasks:
                 task.cancel()
 
