Give commands turns: one connection at full speed kept the event loop from all others

Cause: ClientConnection processed all that had been read, up to 256 KB or 18,000 PINGs at once, and libuv reads a connection up to 32 times in a row. The share of commands that the core admits fell by the time that commands of a pipelining client waited for one another, which says nothing of the core. Ruled out: lists, servers, memory (30 MB). The admission counts only time for which the process was busy.

--- a/myrtlecourse/net/clients.py
+++ b/myrtlecourse/net/clients.py
@@ -11,6 +11,7 @@
 from myrtlecourse.net.answer_slot import AnswerSlot
 from myrtlecourse.net.client_closes import record_close, record_unexpected_end
 from myrtlecourse.net.command import MAX_INFO, MAX_KEY, MAX_VALUE, CommandError, read_command
+from myrtlecourse.net.command_turns import FIRST_COMMANDS, TURN_COMMANDS
 from myrtlecourse.net.connection import has_unread_input
 from myrtlecourse.net.delivery import DeliveryProgress, untaken_bytes
 from myrtlecourse.net.hangup import has_hung_up
@@ -30,6 +31,9 @@
 MAX_PARTS = 16  # parts of a command
 MAX_PIPELINED = 32  # unanswered commands per connection
 MAX_FAST_PATH = 4096  # bytes that are parsed on the fast path
+# Bytes that are read at once. An event loop passes on as much as the kernel has, which would be processed, or
+# kept, before any other connection is looked at.
+READ_SIZE = 16 * 1024
 # seconds for which a half-closed connection is still read at least, and between checks of whether its client
 # has taken its last answers
 LINGER_TIME = 0.5
@@ -38,7 +42,11 @@
 log = logging.getLogger(__name__)
 
 
-class ClientConnection(asyncio.Protocol):
+# The buffer is shared by all connections: what one has read is copied out before the next one reads.
+read_buffer = memoryview(bytearray(READ_SIZE))
+
+
+class ClientConnection(asyncio.BufferedProtocol):
     """A client's connection."""
 
     def __init__(self, host: Host, listener: Listener, client: socket.socket) -> None:
@@ -50,11 +58,13 @@
         self.slots: deque[AnswerSlot] = deque()
         self.command_count = 0  # complete commands that have arrived
         self.socket_wait = 0.0  # seconds for which the latest bytes lay in the socket
+        self.core_wait = 0.0  # the part of it for which this process was busy
         self.unread_since: float | None = None  # since when input may lie unread, on the event loop's clock
         self.command_age = 0.0  # seconds from when the command in work could have been read until it was
         self.reading = True
         self.writable = True
         self.paused_after_error = False
+        self.awaiting_turn = False  # whether commands that were read wait behind other connections
         self.no_more_commands = False  # whether further commands are ignored
         self.half_closed = False  # whether the sending side is shut down; input is read and discarded
         self.discarded_bytes = 0
@@ -67,6 +77,12 @@
         self.transport = cast(Transport, transport)
         self.listener.add(self)
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return read_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        self.data_received(bytes(read_buffer[:nbytes]))
+
     def data_received(self, data: bytes) -> None:
         if self.half_closed:
             # The input is never executed: the client can't be answered and retries elsewhere.
@@ -93,7 +109,13 @@
                 self.listener.update_state(self)
                 return
         self.reader.feed(data)
-        self._process_buffer()
+        self._process_buffer(FIRST_COMMANDS)
+
+    def take_turn(self) -> None:
+        """Process some of the commands that have been read."""
+        self.awaiting_turn = False
+        if not self.transport.is_closing():
+            self._process_buffer()
 
     def _measure_socket_wait(self) -> float:
         """Return the seconds for which the bytes that have just been read may have lain in the socket."""
@@ -104,6 +126,7 @@
             wait = loop_lag.max_wait() if age is None else age
         else:
             wait = loop_lag.estimated_wait()
+        self.core_wait = wait
         if self.unread_since is not None:  # the connection was not read
             wait = max(wait, self.last_data_at - self.unread_since)
             self.unread_since = None
@@ -114,12 +137,13 @@
         if self.unread_since is None:
             self.unread_since = since
 
-    def _process_buffer(self) -> None:
+    def _process_buffer(self, limit: int = TURN_COMMANDS) -> None:
+        """Process up to `limit` commands; further ones wait for a turn."""
         try:
             # Commands that a client left in the buffer before it hung up are not executed: nobody waits for
             # them, and they would only load the cache servers.
             if self.check_connected():
-                self._process_whole_commands()
+                self._process_whole_commands(limit)
         except Exception:
             self._abort_on_fault()
 
@@ -128,11 +152,16 @@
         log.exception("internal error on a client connection, which is closed")
         self.abort(CloseReason.INTERNAL_ERROR)
 
-    def _process_whole_commands(self) -> None:
+    def _process_whole_commands(self, limit: int) -> None:
         # commands may also have waited in the buffer
         self.command_age = self.socket_wait + self.listener.loop.time() - self.last_data_at
         # a closing connection accepts nothing: its client's hang-up would go unnoticed
         while self._may_process() and not self.transport.is_closing():
+            if not limit and self.reader.buffer:
+                self.awaiting_turn = True
+                self.listener.turns.add(self)
+                break
+            limit -= 1
             try:
                 parts = self.reader.next_message()
             except RespError as e:
@@ -189,7 +218,7 @@
     def _process_command(self, parts: Message | list[bytes]) -> None:
         refusal = None
         if isinstance(parts, list) and 4 <= len(parts) <= 5 and isinstance(info := parts[3], bytes):
-            refusal = self.host.refuse_early(info, self.command_age)
+            refusal = self.host.refuse_early(info, self.command_age, self.core_wait)
             # This fast path exists because refusals take a saturated core's time from other requests, and
             # most of them are retried.
             if refusal is not None and not self.slots and self.reading and not self.no_more_commands:
@@ -343,7 +372,11 @@
 
     def _may_process(self) -> bool:
         blocked = (
-            self.no_more_commands or self.paused_after_error or self.awaiting_reservation or not self.writable
+            self.no_more_commands
+            or self.paused_after_error
+            or self.awaiting_turn
+            or self.awaiting_reservation
+            or not self.writable
         )
         if blocked or len(self.slots) >= MAX_PIPELINED:
             return False
--- a/myrtlecourse/net/host.py
+++ b/myrtlecourse/net/host.py
@@ -271,10 +271,16 @@
         """Refuse from now on requests whose deadline is more than `seconds` away."""
         self.answer_deadline = self.clock.now() + seconds
 
-    def refuse_early(self, info: bytes, read_delay: float) -> bytes | None:
-        """Return the refusal of a command that need not be parsed, or None; `info` is as its client sent it.
+    def refuse_early(self, info: bytes, read_delay: float, core_delay: float) -> bytes | None:
+        """Return the refusal of a command that need not be parsed, or None.
 
         What can't be recognised here is left to the full parser.
+
+        Args:
+            info: the names and values as the client sent them.
+            read_delay: seconds for which the command lay unread, which count against its deadline.
+            core_delay: the part of them for which this process was busy. A client that sends faster than its
+                commands are taken waits for itself, which says nothing of the core.
         """
         if self.router.admission is None and self.router.accepting and self.answer_deadline == math.inf:
             return None
@@ -299,7 +305,7 @@
         if math.inf > now + time_left > self.answer_deadline:
             return busy_answer(0.0)
         retry_after = self.router.admission_retry_delay(
-            now, request_class, tenant, is_retry, has_idempotency_key, time_left, read_delay
+            now, request_class, tenant, is_retry, has_idempotency_key, time_left, core_delay
         )
         return None if retry_after is None else busy_answer(retry_after)
 
--- a/myrtlecourse/net/listener.py
+++ b/myrtlecourse/net/listener.py
@@ -13,6 +13,7 @@
 from myrtlecourse.net.acceptor import Acceptor
 from myrtlecourse.net.answer_slot import AnswerSlot
 from myrtlecourse.net.clients import ClientConnection
+from myrtlecourse.net.command_turns import CommandTurns
 from myrtlecourse.net.delivery import DeliveryProgress
 from myrtlecourse.net.descriptors import DescriptorBudget
 from myrtlecourse.net.flow_control import StreamWindows, ValueMemory
@@ -67,6 +68,7 @@
         self.connections: dict[ClientConnection, None] = {}
         self.lingering: dict[ClientConnection, None] = {}  # half-closed connections, the oldest first
         self.evicted: set[ClientConnection] = set()  # aborted; their descriptors are about to become free
+        self.turns = CommandTurns()
         self.hang_up_monitor = HangUpMonitor()  # for connections that are not read
         self.stopping = False  # this process ends: connections without open requests are closed
         # accepted, but not in `connections` yet; each with the task that sets it up
@@ -276,6 +278,7 @@
             or connection.no_more_commands
             or connection.client_left
             or connection.paused_after_error
+            or connection.awaiting_turn
         )
         if busy:
             self.awaiting_command.pop(connection, None)
@@ -294,6 +297,7 @@
         self.connections.pop(connection, None)
         self.lingering.pop(connection, None)
         self.evicted.discard(connection)
+        self.turns.remove(connection)
         self._clear_state(connection)
         self.state_changed.set()
 
