Count what clients make the process hold, and bound it by what the process does not need

Cause: bounds of one connection whose product had none. A connection held 70 KB of a command without a reservation, and up to 256 KB read at once; 32 whole commands with values of 64 KiB; names and values as a dictionary of 30 times their bytes; a reservation for a long key covered a longer value behind it. What was freed stayed with the process. Ruled out: idle clients (18), lists, descriptors. Change: net/client_memory.py divides the limit less the process's own resident memory among kinds. A connection holds 4 to 16 KiB of a command, by their number, and anything longer only with a reservation; commands in work and answers that are not taken are counted: without room further commands stay unread, a first one is refused, and so is a safe read whose value has no place. A connection that waits for memory can be refused to make room for a new client. The allocator gives memory back (net/process_memory.py).

--- a/myrtlecourse/__main__.py
+++ b/myrtlecourse/__main__.py
@@ -10,6 +10,7 @@
 
 from myrtlecourse import policy
 from myrtlecourse.config import Config, ConfigError, read_config, read_file
+from myrtlecourse.net.process_memory import Allocator
 from myrtlecourse.reload_signal import early_reload
 from myrtlecourse.service import Service, inherited_socket, shared_folder
 
@@ -33,6 +34,7 @@
     gc.set_threshold(10_000, 10, 10)
     logging.basicConfig(level=logging.INFO, format="%(asctime)s %(levelname)s %(message)s")
     path = os.environ.get("RELAY_CONFIG", "")
+    Allocator().prefer_returning()
     early_reload.listen()
     try:
         config = read_config(read_file(path))
--- a/myrtlecourse/interface.py
+++ b/myrtlecourse/interface.py
@@ -95,6 +95,7 @@
     NO_REPEAT = "no-repeat"  # the class does not permit another attempt
     NO_PLACE = "no-place"  # the origin has no capacity in time
     COLD = "cold"  # all servers are cold and can take no more requests yet
+    NO_MEMORY = "no-memory"  # there is no memory for the value until its client reads it
     ZONE_LEFT = "zone-left"  # the fleet has excluded the server's zone; other servers can take no more
     UNKNOWN = ""
 
--- a/myrtlecourse/net/answer_slot.py
+++ b/myrtlecourse/net/answer_slot.py
@@ -11,6 +11,7 @@
 from enum import Enum, auto
 from typing import TYPE_CHECKING
 
+from myrtlecourse.net.client_memory import COMMAND_COST, SMALL_ANSWER
 from myrtlecourse.net.exchange import Exchange
 from myrtlecourse.net.host import FAILED_ANSWER
 from myrtlecourse.net.request_log import CloseReason
@@ -44,6 +45,7 @@
         "connection",
         "counted_in_windows",
         "gathered_bytes",
+        "held_command",
         "request_id",
         "reserved_bytes",
         "sent_any",
@@ -65,6 +67,21 @@
         self.counted_in_windows = False  # whether `StreamWindows` counts its stream
         self.gathered_bytes = 0  # memory reserved for gathering the streamed answer
         self.reserved_bytes = 0  # memory reserved for its command
+        self.held_command = 0  # the memory that its command takes, as `ClientMemory` counts it
+
+    def hold_command(self, size: int) -> bool:
+        """Count the memory of the command, whose parts have `size` bytes; return False if there is none."""
+        commands = self.connection.listener.memory.commands
+        needed = COMMAND_COST + (0 if self.reserved_bytes else size)
+        if not commands.fits(needed):
+            return False
+        self.held_command = needed
+        commands.held += needed
+        return True
+
+    def has_room_for(self, size: int) -> bool:
+        """Return whether an answer of `size` bytes may be held until the client takes it."""
+        return size <= SMALL_ANSWER or self.connection.listener.memory.answers.fits(size)
 
     def send(self, answer: bytes) -> None:
         """Answer the command."""
@@ -209,6 +226,8 @@
         if self.counted_in_windows:
             self.counted_in_windows = False
             listener.windows.streams -= 1
+            if not self.connection.transport.is_closing():
+                self.connection.transport.set_write_buffer_limits(high=SMALL_ANSWER)
         if self.stream_state is StreamState.AWAITING_MEMORY:
             self.stream_state = StreamState.BEHIND
             listener.windows.gathered.stop_waiting(self)
@@ -217,6 +236,8 @@
         """Release what the slot holds, as its answer is sent or given up. May be called again."""
         self._release_source()
         listener = self.connection.listener
+        listener.memory.commands.held -= self.held_command
+        self.held_command = 0
         if self.gathered_bytes:
             gathered, self.gathered_bytes = self.gathered_bytes, 0
             listener.windows.gathered.release(gathered)
--- /dev/null
+++ b/myrtlecourse/net/client_memory.py
@@ -0,0 +1,61 @@
+"""How much memory clients may make this process hold. No I/O.
+
+Each bound of one connection is sensible alone, but connections times commands times bytes is not: all that
+clients can make the process hold is counted here, by kind, within what the process may use beyond its own
+needs. What does not fit is left unread, or refused.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from myrtlecourse.net.flow_control import DEFAULT_BUDGET, StreamWindows, ValueMemory
+
+# shares of the memory that is available for clients; connections themselves and the allocator take the rest
+VALUE_SHARE = 0.3  # for long values that clients send
+STREAM_SHARE = 0.2  # for long answers that are passed on
+COMMAND_SHARE = 0.15  # for commands in work
+ANSWER_SHARE = 0.15  # for answers that clients have not taken
+INPUT_SHARE = 0.2  # for commands that have not arrived whole, and have no memory reserved
+
+MAX_INPUT = 16 * 1024  # bytes that one connection may hold of a command without a reservation
+MIN_INPUT = 4 * 1024  # the same with many connections: as much as the longest command without its value
+COMMAND_COST = 4 * 1024  # bytes that a command in work takes in addition to its parts
+SMALL_ANSWER = 4 * 1024  # bytes of an answer that is always given
+
+
+@dataclass(slots=True)
+class HeldBytes:
+    """The bytes that are held for all clients together."""
+
+    budget: int
+    held: int = 0
+
+    def fits(self, size: int) -> bool:
+        """Return whether `size` more bytes may be held; a single holder may exceed the budget."""
+        return not self.held or self.held + size <= self.budget
+
+
+class ClientMemory:
+    """The budgets for what clients make this process hold."""
+
+    def __init__(self, available: int = 5 * DEFAULT_BUDGET) -> None:
+        """Divide `available` bytes."""
+        self.windows = StreamWindows()
+        self.values = ValueMemory()
+        self.commands = HeldBytes(0)
+        self.answers = HeldBytes(0)
+        self.divide(available)
+
+    def divide(self, available: int) -> None:
+        """Set the bytes that are available for clients; what is held already stays."""
+        self.available = available
+        self.windows.set_budget(int(available * STREAM_SHARE))
+        self.values.budget = int(available * VALUE_SHARE)
+        self.commands.budget = int(available * COMMAND_SHARE)
+        self.answers.budget = int(available * ANSWER_SHARE)
+        self.input_budget = int(available * INPUT_SHARE)
+
+    def input_size(self, connections: int) -> int:
+        """Return the bytes that each of so many connections may hold of a command without a reservation."""
+        return max(MIN_INPUT, min(MAX_INPUT, self.input_budget // max(1, connections)))
--- a/myrtlecourse/net/clients.py
+++ b/myrtlecourse/net/clients.py
@@ -10,6 +10,7 @@
 
 from myrtlecourse.net.answer_slot import AnswerSlot
 from myrtlecourse.net.client_closes import record_close, record_unexpected_end
+from myrtlecourse.net.client_memory import COMMAND_COST, SMALL_ANSWER
 from myrtlecourse.net.command import MAX_INFO, MAX_KEY, MAX_VALUE, CommandError, read_command
 from myrtlecourse.net.command_turns import FIRST_COMMANDS, TURN_COMMANDS
 from myrtlecourse.net.connection import has_unread_input
@@ -25,15 +26,12 @@
     from myrtlecourse.net.listener import Listener
 
 MAX_COMMAND = MAX_VALUE + MAX_KEY + MAX_INFO + 4096  # bytes buffered for an incomplete command
-# bytes above which a command needs reserved memory
-UNRESERVED_COMMAND = 64 * 1024 + MAX_KEY + MAX_INFO + 4096
 RESERVATION_TIMEOUT = 1.0  # seconds for which a long value may wait for memory
 MAX_PARTS = 16  # parts of a command
 MAX_PIPELINED = 32  # unanswered commands per connection
 MAX_FAST_PATH = 4096  # bytes that are parsed on the fast path
-# Bytes that are read at once. An event loop passes on as much as the kernel has, which would be processed, or
-# kept, before any other connection is looked at.
-READ_SIZE = 16 * 1024
+READ_SIZE = 64 * 1024  # bytes that are read at once of a long value
+MIN_READ = 512  # bytes that are read at once at least
 # seconds for which a half-closed connection is still read at least, and between checks of whether its client
 # has taken its last answers
 LINGER_TIME = 0.5
@@ -70,15 +68,26 @@
         self.discarded_bytes = 0
         self.client_left = False  # whether the client has hung up or the connection has ended
         self.reserved_bytes = 0  # memory for the long value that is being received
+        self.reservation_size = 0  # the memory that is reserved or waited for
         self.awaiting_reservation = False
+        self.reservation_timer: asyncio.TimerHandle | None = None
+        self.held_answers = 0  # bytes of answers that the client has not taken, as `ClientMemory` counts them
         self.last_data_at = 0.0  # on the event loop's clock
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self.transport = cast(Transport, transport)
+        self.transport.set_write_buffer_limits(high=SMALL_ANSWER)
         self.listener.add(self)
 
     def get_buffer(self, sizehint: int) -> memoryview:
-        return read_buffer
+        # Only what the connection may hold is read: the event loop would pass on all that the kernel has.
+        if self.half_closed:
+            return read_buffer
+        allowed = self.reader.announced_size if self.reserved_bytes else self._input_size()
+        return read_buffer[: max(MIN_READ, min(READ_SIZE, allowed - len(self.reader.buffer)))]
+
+    def _input_size(self) -> int:
+        return self.listener.memory.input_size(len(self.listener.connections))
 
     def buffer_updated(self, nbytes: int) -> None:
         self.data_received(bytes(read_buffer[:nbytes]))
@@ -176,30 +185,32 @@
         self.listener.update_state(self)
 
     def _reserve_memory(self, announced_size: int) -> None:
-        """Reserve memory for a long value and for its forwarded copy; until then it is not read."""
-        if (
-            announced_size <= UNRESERVED_COMMAND
-            or self.reserved_bytes
-            or self.awaiting_reservation
-            or self.transport.is_closing()
-        ):
+        """Reserve memory for a long command and for its forwarded copy; until then it is not read."""
+        needed = max(announced_size, len(self.reader.buffer) + 1)
+        if needed <= self._input_size() or self.awaiting_reservation or self.transport.is_closing():
             return
-        size = 2 * announced_size
-        if self.listener.upload_memory.reserve(self, size):
-            self.reserved_bytes = size
+        if self.reserved_bytes:
+            if 2 * needed > self.reserved_bytes:
+                # only the last part of a valid command is long, and memory was reserved for it
+                self.close_with_error("-ERR command is too long")
+            return
+        self.reservation_size = 2 * needed
+        if self.listener.upload_memory.reserve(self, self.reservation_size):
+            self.reserved_bytes = self.reservation_size
             return
         self.awaiting_reservation = True
-        asyncio.get_running_loop().call_later(RESERVATION_TIMEOUT, self._refuse_unreserved)
+        self.listener.awaiting_memory[self] = None
+        self.reservation_timer = self.listener.loop.call_later(RESERVATION_TIMEOUT, self.refuse_unreserved)
 
     def on_reserved(self) -> None:
         """Continue reading the long value, for which memory has been reserved."""
-        self.awaiting_reservation = False
-        self.reserved_bytes = 2 * self.reader.announced_size
+        self._end_waiting()
+        self.reserved_bytes = self.reservation_size
         self.last_data_at = asyncio.get_running_loop().time()  # the client could not send before
         self.update_reading()
 
-    def _refuse_unreserved(self) -> None:
-        """Refuse a long value for which memory has not become free in time.
+    def refuse_unreserved(self) -> None:
+        """Refuse a long value for which memory has not become free.
 
         A command that has not arrived completely has not been accepted, so that repeating it is harmless.
         """
@@ -207,9 +218,16 @@
             self._release_reservation()
             self.close_with_error(busy_answer(self.host.settings.max_retry_after).decode().rstrip())
 
+    def _end_waiting(self) -> None:
+        self.awaiting_reservation = False
+        self.listener.awaiting_memory.pop(self, None)
+        if self.reservation_timer is not None:
+            self.reservation_timer.cancel()
+            self.reservation_timer = None
+
     def _release_reservation(self) -> None:
         if self.awaiting_reservation:
-            self.awaiting_reservation = False
+            self._end_waiting()
             self.listener.upload_memory.stop_waiting(self)
         if self.reserved_bytes:
             reserved, self.reserved_bytes = self.reserved_bytes, 0
@@ -238,6 +256,9 @@
             return
         try:
             command = read_command(parts)
+            if not slot.hold_command(command.size()):
+                slot.send(busy_answer(self.host.settings.max_retry_after))
+                return
             slot.request_id = command.request_id.decode()
             self.host.accept(command, slot, self.command_age)
         except CommandError as e:
@@ -258,6 +279,18 @@
         """Set the answer of a slot and send all answers that are next in order."""
         slot.answer = answer
         self._send_answers()
+        self._count_held_answers()
+
+    def _count_held_answers(self) -> None:
+        """Count the bytes of answers that the client has not taken, or that wait for those before them."""
+        held = 0
+        if self.slots or not self.writable:
+            held = sum(len(slot.answer) for slot in self.slots if slot.answer is not None)
+            if not self.writable and not self.transport.is_closing():
+                held += self.transport.get_write_buffer_size()
+        if held != self.held_answers:
+            self.listener.memory.answers.held += held - self.held_answers
+            self.held_answers = held
 
     def _send_answers(self) -> None:
         """Send the answers that are next in order, as far as they are there and the client takes them."""
@@ -298,6 +331,13 @@
         """Return whether the connection ends already, so that `close` would do nothing."""
         return self.half_closed or self.client_left or self.transport.is_closing()
 
+    def make_room(self) -> None:
+        """Close for a new client, as there is no descriptor for it."""
+        if self.awaiting_reservation:
+            self.refuse_unreserved()
+        else:
+            self.close(CloseReason.NO_ROOM)
+
     def close(self, reason: CloseReason) -> None:
         """Close with lingering: shut down the sending side, read and discard for a while, then close.
 
@@ -380,7 +420,9 @@
         )
         if blocked or len(self.slots) >= MAX_PIPELINED:
             return False
-        return not (self.slots and self.slots[-1].holds_back_commands())
+        if not self.slots:
+            return True
+        return self.listener.memory.commands.fits(COMMAND_COST) and not self.slots[-1].holds_back_commands()
 
     def update_reading(self) -> None:
         """Start or stop reading; a client whose commands can't be processed now is not read."""
@@ -404,6 +446,7 @@
         self.writable = True
         if self.slots:
             self._send_answers()
+        self._count_held_answers()
         self._process_buffer()
 
     def has_unread_input(self) -> bool:
@@ -416,3 +459,5 @@
         if exc is not None and not isinstance(exc, OSError):
             record_unexpected_end(len(self.slots), exc)
         self.cancel_requests()
+        self.listener.memory.answers.held -= self.held_answers
+        self.held_answers = 0
--- a/myrtlecourse/net/command.py
+++ b/myrtlecourse/net/command.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import re
-from dataclasses import dataclass
 
 MAX_VALUE = 4 * 1024 * 1024  # bytes of a value that a client sends
 MAX_BUFFERED_ANSWER = 64 * 1024  # bytes of an answer that is buffered whole; longer ones are streamed
@@ -20,30 +19,27 @@
     """A command that can't be accepted; the message is sent to the client."""
 
 
-@dataclass(slots=True, init=False)
 class Command:
-    """A read or write as a client sent it."""
+    """A read or write as a client sent it.
 
-    verb: bytes
-    key: bytes
-    request_id: bytes
-    info: dict[str, str]
-    deadline_ms: int
-    value: bytes | None
+    The names and values are kept as text: of a thousand bytes, a dictionary would take thirty times as many.
+    """
+
+    __slots__ = ("deadline_ms", "info_text", "key", "request_id", "value", "verb")
 
     def __init__(
         self,
         verb: bytes,
         key: bytes,
         request_id: bytes,
-        info: dict[str, str],
+        info: dict[str, str] | bytes,
         deadline_ms: int,
         value: bytes | None = None,
     ) -> None:
         self.verb = verb
         self.key = key
         self.request_id = request_id
-        self.info = info
+        self.info_text = info if isinstance(info, bytes) else encode_info(info)
         self.deadline_ms = deadline_ms
         self.value = value
 
@@ -51,10 +47,24 @@
     def is_write(self) -> bool:
         return self.value is not None
 
+    @property
+    def info(self) -> dict[str, str]:
+        """The names and values, as a new dictionary."""
+        pairs = (pair.partition("=") for pair in self.info_text.decode().split(","))
+        return {name: value for name, _, value in pairs}
+
+    def size(self) -> int:
+        """Return the bytes of the parts."""
+        return len(self.key) + len(self.request_id) + len(self.info_text) + len(self.value or b"")
+
     def encode_info(self, time_left: float) -> bytes:
         """Encode the names and values in their order; `d` becomes the milliseconds the router will wait."""
-        fields = self.info | {"d": str(max(1, int(time_left * 1000)))}
-        return ",".join(f"{name}={value}" for name, value in fields.items()).encode()
+        return encode_info(self.info | {"d": str(max(1, int(time_left * 1000)))})
+
+
+def encode_info(info: dict[str, str]) -> bytes:
+    """Encode names and values in the form of a command."""
+    return ",".join(f"{name}={value}" for name, value in info.items()).encode()
 
 
 def read_info(text: bytes) -> dict[str, str]:
@@ -105,4 +115,4 @@
     value = parts[4] if verb == b"C.SET" else None
     if value is not None and len(value) > MAX_VALUE:
         raise CommandError("value is longer than 4194304 bytes")
-    return Command(parts[0], key, request_id, info, int(deadline), value)
+    return Command(parts[0], key, request_id, parts[3], int(deadline), value)
--- a/myrtlecourse/net/flow_control.py
+++ b/myrtlecourse/net/flow_control.py
@@ -11,7 +11,6 @@
 from typing import Protocol
 
 DEFAULT_BUDGET = 16 * 1024 * 1024  # bytes, unless the configuration gives the available memory
-MEMORY_SHARE = 1 / 5  # share of a process's memory that each direction may use
 MAX_WINDOW = 64 * 1024  # bytes of one stream in each of its two buffers; as much as is read at once
 MIN_WINDOW = 4 * 1024
 GATHERED_SHARE = 1 / 2  # share of the budget for answers that gathered ones may use
--- a/myrtlecourse/net/host.py
+++ b/myrtlecourse/net/host.py
@@ -322,24 +322,25 @@
         # request that has just ended could be served with the answer of another client.
         if request_id in self.requests or request_id in self.recent_ids or request_id in self.older_ids:
             raise CommandError("this request id is in use")
-        request_class = self.settings.classes.get(command.info.get("c", ""))
+        info = command.info
+        request_class = self.settings.classes.get(info.get("c", ""))
         if request_class is None:
             raise CommandError("class is unknown")
         # Servers recognise a repeated request by its idempotency key; without it, a repeat would be executed
         # again.
-        if request_class.effect is api.Effect.KEYED and not command.info.get("k"):
+        if request_class.effect is api.Effect.KEYED and not info.get("k"):
             raise CommandError("k is missing")
         time_left = max(0.0, command.deadline_ms / 1000 - DEADLINE_MARGIN - read_delay)
         deadline = self.clock.now() + time_left
         request = self.requests[request_id] = RequestInFlight(
-            request_id, command, self.settings, deadline, answer_sink
+            request_id, command, self.settings, deadline, answer_sink, request_class.effect
         )
         request.deadline_timer = self.timers.call_later(time_left, self._on_deadline, request_id)
         if self.request_log.enabled:
             self.request_log.event(
                 request_id, "taken", request_class=request_class.name, left=time_left, waited=read_delay
             )
-        hint = command.info.get("h", "")
+        hint = info.get("h", "")
         event = api.Request(
             request_id,
             request_class.name,
@@ -419,6 +420,14 @@
                 # In the middle of a value, another answer would be read as a part of that value.
                 request.answer_sink.abort_stream()
 
+    def _give_value(self, request: RequestInFlight, value: bytes) -> None:
+        """Answer a request with a value, or refuse it if there is no memory until its client reads."""
+        if request.effect is not api.Effect.SAFE or request.answer_sink.has_room_for(len(value)):
+            self._answer(request.request_id, b"$%d\r\n%b\r\n" % (len(value), value))
+        else:
+            refusal = busy_answer(self.settings.max_retry_after)
+            self._answer(request.request_id, refusal, api.Reason.NO_MEMORY)
+
     def _log_answer(self, request: RequestInFlight, answer: bytes, reason: api.Reason) -> None:
         """Log a late final answer and, while the request log is enabled, every answer."""
         lateness = self.clock.now() - request.deadline - DEADLINE_MARGIN
@@ -541,7 +550,7 @@
                     else request.answer_sink.abort_stream
                 )()
         elif status is api.Status.OK:
-            self._answer(request_id, b"$%d\r\n%b\r\n" % (len(value), value))
+            self._give_value(request, value)
         self.ended_requests.append(request_id)
         # The latency excludes waits for a saturated core and for a client that reads a long answer slowly:
         # they would count as the server's latency and lower its concurrency limit.
--- a/myrtlecourse/net/in_flight.py
+++ b/myrtlecourse/net/in_flight.py
@@ -45,6 +45,9 @@
     def waits_behind_others(self) -> bool:
         """Return whether a streamed answer waits for its turn, so that its client has nothing of it."""
 
+    def has_room_for(self, size: int) -> bool:
+        """Return whether an answer of `size` bytes may be held until the client takes it."""
+
     def client_connected(self) -> bool:
         """Return whether the client is still connected; works even while its connection is not read."""
 
@@ -142,6 +145,7 @@
         "deadline",
         "deadline_passed",
         "deadline_timer",
+        "effect",
         "open_attempts",
         "request_id",
         "settings",
@@ -155,7 +159,9 @@
         settings: api.Settings,
         deadline: float,
         answer_sink: AnswerSink,
+        effect: api.Effect = api.Effect.SAFE,
     ) -> None:
+        self.effect = effect
         self.request_id = request_id
         self.settings = settings  # the settings in force when the request began
         self.command = command
--- a/myrtlecourse/net/listener.py
+++ b/myrtlecourse/net/listener.py
@@ -12,11 +12,11 @@
 from myrtlecourse import interface as api
 from myrtlecourse.net.acceptor import Acceptor
 from myrtlecourse.net.answer_slot import AnswerSlot
+from myrtlecourse.net.client_memory import ClientMemory
 from myrtlecourse.net.clients import ClientConnection
 from myrtlecourse.net.command_turns import CommandTurns
 from myrtlecourse.net.delivery import DeliveryProgress
 from myrtlecourse.net.descriptors import DescriptorBudget
-from myrtlecourse.net.flow_control import StreamWindows, ValueMemory
 from myrtlecourse.net.hangup import HangUpMonitor
 from myrtlecourse.net.host import Host
 from myrtlecourse.net.rate_limited_log import RateLimitedLog
@@ -56,12 +56,12 @@
         host: Host,
         budget: int,
         descriptors: DescriptorBudget | None = None,
-        windows: StreamWindows | None = None,
-        upload_memory: ValueMemory | None = None,
+        memory: ClientMemory | None = None,
     ) -> None:
         self.host = host
-        self.windows = windows or StreamWindows()
-        self.upload_memory = upload_memory or ValueMemory()
+        self.memory = memory or ClientMemory()
+        self.windows = self.memory.windows
+        self.upload_memory = self.memory.values
         self.budget = budget
         self.descriptors = descriptors or DescriptorBudget(budget)
         self.descriptors.add(self)
@@ -76,6 +76,7 @@
         # streamed answers that their clients have to read first, each with its progress, the longest first
         self.stalled_answers: dict[AnswerSlot, DeliveryProgress] = {}
         self.paused_after_error: dict[ClientConnection, None] = {}  # not read for a while
+        self.awaiting_memory: dict[ClientConnection, None] = {}  # for a long value, the longest first
         # connections without open requests, each with the time since when, the longest first
         self.awaiting_command: dict[ClientConnection, float] = {}  # for a first command or the rest of one
         self.idle: dict[ClientConnection, float] = {}
@@ -152,7 +153,7 @@
                 continue
             candidate = self._connection_to_close(now)
             if candidate is not None:
-                candidate.close(CloseReason.NO_ROOM)
+                candidate.make_room()
                 continue
             with suppress(TimeoutError):
                 async with asyncio.timeout(FIRST_COMMAND_GRACE):
@@ -179,7 +180,7 @@
         for connection in chain(late_first, single_command, idle):
             if not connection.ending() and not connection.has_unread_input():
                 return connection
-        return None
+        return next((c for c in self.awaiting_memory if not c.ending()), None)
 
     def _lingering_to_evict(self) -> ClientConnection | None:
         """Return the oldest half-closed connection whose client has taken all that was written, if any."""
--- a/myrtlecourse/net/resp.py
+++ b/myrtlecourse/net/resp.py
@@ -140,7 +140,8 @@
             raise RespError("length does not fit")
         if len(terminator) < 2:
             raise IndexError
-        return bytes(self.buffer[start:end]), end + 2
+        with memoryview(self.buffer) as view:
+            return bytes(view[start:end]), end + 2
 
     def _array(self, start: int, depth: int) -> tuple[list[Message] | None, int]:
         count, start = self._number(LENGTH, start)
--- a/myrtlecourse/service.py
+++ b/myrtlecourse/service.py
@@ -18,14 +18,15 @@
 
 from myrtlecourse import interface as api
 from myrtlecourse.config import Config, ConfigError, read_file, read_reload
+from myrtlecourse.net.client_memory import ClientMemory
 from myrtlecourse.net.descriptors import DescriptorBudget
 from myrtlecourse.net.discovery import Discovery, WatchTimeouts
-from myrtlecourse.net.flow_control import MEMORY_SHARE, StreamWindows, ValueMemory
 from myrtlecourse.net.host import Host
 from myrtlecourse.net.listener import FRONT_REACTION_TIME, Listener
 from myrtlecourse.net.members import Member
 from myrtlecourse.net.origin import OriginConnection
 from myrtlecourse.net.pool import Pool
+from myrtlecourse.net.process_memory import Allocator, resident_bytes
 from myrtlecourse.net.rate_limited_log import RateLimitedLog
 from myrtlecourse.net.servers import CacheConnection
 from myrtlecourse.ops.calls import Call, Kind, Response
@@ -46,6 +47,10 @@
 RESERVED_FOR_OTHER_PROCESS = 16  # the same for a second process during an upgrade, which needs fewer
 # seconds for which a removed class is still accepted, as its commands may have been in transit at the reload
 REMOVED_CLASS_TIME = 2.0
+MIN_CLIENT_SHARE = 1 / 8  # share of the memory that clients get, whatever the process itself needs
+MEGABYTE = 1024 * 1024  # bytes
+MEMORY_CHECK_INTERVAL = 1.0  # seconds between looks at the memory of this process
+KEPT_MEMORY = 1 / 8  # share of the clients' memory by which the process may grow before freed pages go back
 POLL_INTERVAL = 0.1  # seconds between polls of the orders and claims of other processes of this router
 FIRST_LIST_TIMEOUT = 1.0  # seconds to wait for a fresh list at an upgrade, before the saved one is used
 END_SIGNALS = (signal.SIGTERM, signal.SIGINT)
@@ -85,8 +90,8 @@
         dial, idle = settings.dial_timeout, settings.connection_idle
         self.descriptors = descriptors = DescriptorBudget(available)
         longest = config.longest_answer
-        self.windows, self.upload_memory = StreamWindows(), ValueMemory()
-        windows = self.windows
+        self.memory = ClientMemory()
+        windows = self.memory.windows
         self.servers = Pool(CacheConnection, available * 3 // 8, dial, idle, longest, descriptors, windows)
         self.origin = Pool(OriginConnection, available // 8, dial, idle, longest, descriptors, windows)
         self.admission = CoreAdmission(settings)
@@ -98,7 +103,7 @@
         self.discovery = Discovery(
             config.discovery, index, self._on_list, self.host.discovery_failed, timeouts
         )
-        self.listener = Listener(self.host, available // 2, descriptors, windows, self.upload_memory)
+        self.listener = Listener(self.host, available // 2, descriptors, self.memory)
         self.listed_servers = ListedServers()
         self.listed_servers_file = ListedServersFile(folder, self.listed_servers)
         self.store = OrderStore(folder)
@@ -109,6 +114,7 @@
             except OSError as e:
                 # the router must start all the same; only the sharing with another process is lost
                 logging.error("nothing is shared with another process: %s", e)
+        self.own_memory = resident_bytes()  # what the process needs without clients
         self.shutting_down = False
         self.other_claims: list[Claim] = []  # claims of other processes of this router, as last read
         self._share_limits()
@@ -150,8 +156,7 @@
             # the decision module then sends no `Subscribe`, as it expects that lists are pushed; they are
             # fetched here all the same
             self.discovery.subscribe()
-        reloads = asyncio.create_task(self._reload_on_request())
-        poll = asyncio.create_task(self._poll_other_processes()) if self.claims is not None else None
+        background = self._start_background_tasks()
         if self.inherited is not None:
             await self._wait_for_list()
         if self.operators_path is not None:
@@ -160,6 +165,7 @@
         # objects that exist by now are excluded from garbage collection, as a search of a large list of
         # servers would block the event loop
         gc.freeze()
+        self._measure_own_memory()
         try:
             self.listener.start(self.config.listen, self.inherited)
         except OSError as e:
@@ -172,9 +178,8 @@
                 raise ConfigError(f"ops: {e}") from e
         await terminated.wait()
         await self._shut_down()
-        reloads.cancel()
-        if poll is not None:
-            poll.cancel()
+        for task in background:
+            task.cancel()
         self.ops.close()
         self.listed_servers_file.close()
         self.discovery.close()
@@ -190,6 +195,12 @@
         )
         ignore_signals(loop)
 
+    def _start_background_tasks(self) -> list[asyncio.Task[None]]:
+        tasks = [asyncio.create_task(self._reload_on_request()), asyncio.create_task(self._return_memory())]
+        if self.claims is not None:
+            tasks.append(asyncio.create_task(self._poll_other_processes()))
+        return tasks
+
     async def _shut_down(self) -> None:
         """Finish the accepted requests and close the subsystems, both before a SIGKILL may follow."""
         loop = asyncio.get_running_loop()
@@ -304,6 +315,25 @@
             bounded.log(logging.ERROR, "claims of other processes can't be read: %s", e)
         return self.other_claims
 
+    def _measure_own_memory(self) -> None:
+        """Divide between clients what the process itself does not need."""
+        self.own_memory = resident_bytes()
+        self._share_limits()
+        logging.info(
+            "memory: %.1f of %.1f MB in use, %.1f MB for clients",
+            self.own_memory / MEGABYTE,
+            self.config.memory / MEGABYTE,
+            self.memory.available / MEGABYTE,
+        )
+
+    async def _return_memory(self) -> None:
+        """Give freed memory back to the system while the process has grown."""
+        allocator = Allocator()
+        while True:
+            await asyncio.sleep(MEMORY_CHECK_INTERVAL)
+            if resident_bytes() - self.own_memory > KEPT_MEMORY * self.memory.available:
+                allocator.return_freed()
+
     def _share_limits(self) -> None:
         """Divide the router's limits between this process and others of the same router."""
         others = self._read_other_claims()
@@ -322,9 +352,8 @@
                 self.claims.claim(descriptors.total)
             except OSError as e:
                 bounded.log(logging.ERROR, "the claim on descriptors can't be written: %s", e)
-        memory = int(self.config.memory * MEMORY_SHARE / (1 + len(others)))
-        self.windows.set_budget(memory)
-        self.upload_memory.budget = memory
+        share = self.config.memory // (1 + len(others))
+        self.memory.divide(max(share - self.own_memory, int(share * MIN_CLIENT_SHARE)))
 
     # Reloads
 
--- a/tests/router_process.py
+++ b/tests/router_process.py
@@ -53,28 +53,25 @@
     address: tuple[str, int]
     log: Path
 
-    def resident_bytes(self) -> int:
-        """Return the resident memory of the process."""
-        pages = int(Path(f"/proc/{self.process.pid}/statm").read_text().split()[1])
-        return pages * os.sysconf("SC_PAGE_SIZE")
-
 
 @asynccontextmanager
-async def started(configuration: dict[str, Any], folder: Path) -> AsyncIterator[RouterProcess]:
-    """Start a router process, which logs each request; it is killed at the end."""
-    path, log = folder / "config.json", folder / "router.log"
+async def started(
+    configuration: dict[str, Any], folder: Path, log: str = "requests"
+) -> AsyncIterator[RouterProcess]:
+    """Start a router process, which logs each request unless told otherwise; it is killed at the end."""
+    path, file = folder / "config.json", folder / "router.log"
     path.write_bytes(orjson.dumps(configuration))
-    variables = {**os.environ, "RELAY_CONFIG": str(path), "MYRTLECOURSE_LOG": "requests"}
-    with log.open("wb") as out:
+    variables = {**os.environ, "RELAY_CONFIG": str(path), "MYRTLECOURSE_LOG": log}
+    with file.open("wb") as out:
         process = await asyncio.create_subprocess_exec(
             sys.executable, "-m", "myrtlecourse", env=variables, stdout=out, stderr=out
         )
     try:
-        while b"listening on " not in (text := log.read_bytes()):
+        while b"listening on " not in (text := file.read_bytes()):
             assert process.returncode is None, text.decode()[-2000:]
             await asyncio.sleep(0.02)
         address = parse_address(text.split(b"listening on ")[1].split()[0].decode())
-        yield RouterProcess(process, address, log)
+        yield RouterProcess(process, address, file)
     finally:
         if process.returncode is None:
             process.kill()
--- a/tests/test_folder_faults.py
+++ b/tests/test_folder_faults.py
@@ -84,7 +84,7 @@
             service = Service(read_config(orjson.dumps(GOOD)), "", 99, tmp_path)
         assert service.claims is not None
         assert service.descriptors.total == service.config.sockets - 32
-        assert service.windows.budget > 0
+        assert service.memory.windows.budget > 0
         service.claims.release()
 
     run(scenario)
