--- a/myrtlecourse/net/host.py
+++ b/myrtlecourse/net/host.py
@@ -9,6 +9,7 @@
 import asyncio
 import logging
 import math
+import time
 from collections import Counter, deque
 from collections.abc import Callable
 from dataclasses import replace
@@ -17,6 +18,7 @@
 from myrtlecourse.net.clock import Clock
 from myrtlecourse.net.command import Command, CommandError
 from myrtlecourse.net.exchange import Exchange
+from myrtlecourse.net.executed_ids import ExecutedIds
 from myrtlecourse.net.in_flight import AnswerSink, Attempt, RequestInFlight
 from myrtlecourse.net.list_updates import ListUpdate, ListUpdateQueue
 from myrtlecourse.net.loop_lag import LoopLag
@@ -32,6 +34,9 @@
 # percentile; the rest allows for a core busy with other processes.
 DEADLINE_MARGIN = 0.02
 MIN_ID_MEMORY = 2.0  # seconds; the id of an ended request is not accepted again for at least this long
+MAX_RECENT_IDS = (
+    16 * 1024
+)  # ids of each of two generations; with more, those of safe requests are forgotten early
 STREAM_CHECK_INTERVAL = 60.0  # seconds between checks of the progress of an answer streamed past its deadline
 MAX_DIGITS = 12  # digits of a number in a command's names and values
 FAILED_ANSWER = b"-ERR failed\r\n"
@@ -73,6 +78,7 @@
         self.recent_ids: set[str] = set()  # ids of ended requests
         self.older_ids: set[str] = set()  # the generation before
         self.id_generation_started_at = self.clock.now()
+        self.executed_ids = ExecutedIds()  # of requests that must not be executed twice
         self.ended_requests: list[str] = []  # ids of requests that may be removable
         self.pending_events: deque[api.Event] = deque()
         self.handling = False
@@ -330,6 +336,10 @@
         # again.
         if request_class.effect is api.Effect.KEYED and not info.get("k"):
             raise CommandError("k is missing")
+        if request_class.effect is not api.Effect.SAFE and not self.executed_ids.take(
+            command.request_id, time.monotonic()
+        ):
+            raise CommandError("this request id was used before")
         time_left = max(0.0, command.deadline_ms / 1000 - DEADLINE_MARGIN - read_delay)
         deadline = self.clock.now() + time_left
         request = self.requests[request_id] = RequestInFlight(
@@ -450,7 +460,8 @@
         if request is not None and request.closed and not request.open_attempts:
             del self.requests[request_id]
             now = self.clock.now()
-            if now - self.id_generation_started_at > MIN_ID_MEMORY:
+            too_many = len(self.recent_ids) >= MAX_RECENT_IDS
+            if too_many or now - self.id_generation_started_at > MIN_ID_MEMORY:
                 self.older_ids, self.recent_ids, self.id_generation_started_at = self.recent_ids, set(), now
             self.recent_ids.add(request_id)
             if request.deadline_timer is not None:
--- a/myrtlecourse/service.py
+++ b/myrtlecourse/service.py
@@ -21,6 +21,7 @@
 from myrtlecourse.net.client_memory import ClientMemory
 from myrtlecourse.net.descriptors import DescriptorBudget
 from myrtlecourse.net.discovery import Discovery, WatchTimeouts
+from myrtlecourse.net.executed_ids import open_shared
 from myrtlecourse.net.host import Host
 from myrtlecourse.net.listener import FRONT_REACTION_TIME, Listener
 from myrtlecourse.net.members import Member
@@ -111,6 +112,7 @@
         if folder is not None and inherited is not None:
             try:
                 self.claims = DescriptorClaims(folder)
+                self.host.executed_ids = open_shared(folder)
             except OSError as e:
                 # the router must start all the same; only the sharing with another process is lost
                 logging.error("nothing is shared with another process: %s", e)
