Send nothing to a new process that took the place of the one an attempt was for

Cause: Host.may_start, asked when an attempt's dial comes up or its turn in the queue comes, looked at the server's name alone. One that had been listed as started anew meanwhile got the attempt, cold, outside its slow start. Evidence: a dial held until the list names another start; the request was written to the new process. Ruled out: idle and busy connections, which carry the process that they were made to; a server of another name. Change: an attempt keeps the process that it was for, and isn't sent to another; the decision module chooses anew. Measured: tests/test_net_hangup.py, a_late_dial_sends_nothing[replaced], failed on both event loops before, passes now. A process that is new at an address that the list still gives to the old one can't be told apart.

--- a/myrtlecourse/net/host.py
+++ b/myrtlecourse/net/host.py
@@ -500,6 +500,7 @@
             time_left = action.timeout
             attempt.deadline = now + time_left
             attempt.timeout_timer = self.timers.call_later(time_left, self._time_out, attempt)
+        attempt.process = member.process
         attempt.exchange = self._pool_of(member).start_attempt(
             member.address, request.command, time_left, attempt.finish, member.process, attempt
         )
@@ -509,6 +510,8 @@
         request, member = attempt.request, self.members.get(attempt.server)
         if request.closed or request.deadline_passed or member is None or not member.entry.ready:
             return False
+        if member.process != attempt.process:  # another process has taken the place of the one chosen
+            return False
         # The first attempt repeats nothing, and so is never too late for duplicate detection.
         late = request.attempts_started > 1 and self.clock.now() >= attempt.send_deadline
         return (
--- a/myrtlecourse/net/in_flight.py
+++ b/myrtlecourse/net/in_flight.py
@@ -63,6 +63,7 @@
         "exchange",
         "host",
         "number",
+        "process",
         "received_bytes",
         "request",
         "send_deadline",
@@ -80,6 +81,7 @@
         self.number = request.attempts_started
         self.sent_at = sent_at
         self.server = server
+        self.process: tuple[str, float] | None = None  # the server's process when the attempt began
         # The time on the router's clock (`net.clock`) by which the last byte of the request must be sent:
         # from then on servers may no longer recognise it as a repeat of an earlier attempt.
         self.send_deadline = math.inf if send_deadline is None else send_deadline
--- a/tests/test_net_hangup.py
+++ b/tests/test_net_hangup.py
@@ -4,6 +4,7 @@
 
 import os
 import socket
+import time
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -169,9 +170,10 @@
     run(scenario)
 
 
-@pytest.mark.parametrize("change", ["drained", "offline", "window over"])
+@pytest.mark.parametrize("change", ["drained", "offline", "window over", "replaced"])
 def test_a_late_dial_sends_nothing_that_must_not_go_any_more(change: str) -> None:
-    """During a dial, the server may begin to drain, or the period in which it drops repeats may end."""
+    """During a dial, the server may begin to drain, the period in which it drops repeats may end, or a new
+    process may come up at its address, which is another server (incident 73)."""
     window = 30.0
     keyed = replace(SETTINGS.classes["book"], repeat_window=window, aim=3 * window)
     late_book = command("C.SET", "k", "r1", "c=book,t=x,d=90000,k=5c0f", b"slot")
@@ -199,6 +201,9 @@
                     list_caches(router, "ab".replace(dialled, ""))
                 elif change == "offline":
                     router.host.take_offline(dialled)
+                elif change == "replaced":
+                    restarted = member(dialled, router.caches[dialled].address, listed_start=time.time())
+                    router.host.submit_list(api.ListKind.DELTA, [restarted])
                 else:
                     router.host.clock.offset += window  # as if that time had passed
                 dials.release()
@@ -207,7 +212,7 @@
                     # no server would recognise a repeat
                     assert str(await client.resp()).startswith("BUSY")
                 else:
-                    other = await router.caches["ab".replace(dialled, "")].link()
+                    other = await router.cache()
                     assert (await other.resp())[2] == b"r1"
                     other.write(HIT)
                     assert await client.resp() == b"value"
