Age commands that lay in the socket behind a read that was full, and wait 0.5 s for memory

Change: after a read that took all it could, what is left in the socket is as old as what was read; the wait for memory is half a second, the lateness that a final answer may have.

--- a/myrtlecourse/net/clients.py
+++ b/myrtlecourse/net/clients.py
@@ -19,14 +19,16 @@
 from myrtlecourse.net.host import Host, busy_answer
 from myrtlecourse.net.request_log import CloseReason
 from myrtlecourse.net.resp import INCOMPLETE, Message, Reader, RespError, split_command
-from myrtlecourse.net.tcp_info import data_age
+from myrtlecourse.net.tcp_info import data_age, unread_bytes
 from myrtlecourse.net.transport import Transport
 
 if TYPE_CHECKING:
     from myrtlecourse.net.listener import Listener
 
 MAX_COMMAND = MAX_VALUE + MAX_KEY + MAX_INFO + 4096  # bytes buffered for an incomplete command
-RESERVATION_TIMEOUT = 1.0  # seconds for which a long value may wait for memory
+# Seconds for which a long value may wait for memory. All of it may be in the socket already, so that its time
+# runs; a final answer may be so much late.
+RESERVATION_TIMEOUT = 0.5
 MAX_PARTS = 16  # parts of a command
 MAX_PIPELINED = 32  # unanswered commands per connection
 MAX_FAST_PATH = 4096  # bytes that are parsed on the fast path
@@ -59,6 +61,7 @@
         self.core_wait = 0.0  # the part of it for which this process was busy
         self.unread_since: float | None = None  # since when input may lie unread, on the event loop's clock
         self.command_age = 0.0  # seconds from when the command in work could have been read until it was
+        self.read_limit = READ_SIZE  # bytes that the next read may take
         self.reading = True
         self.writable = True
         self.paused_after_error = False
@@ -84,7 +87,8 @@
         if self.half_closed:
             return read_buffer
         allowed = self.reader.announced_size if self.reserved_bytes else self._input_size()
-        return read_buffer[: max(MIN_READ, min(READ_SIZE, allowed - len(self.reader.buffer)))]
+        self.read_limit = max(MIN_READ, min(READ_SIZE, allowed - len(self.reader.buffer)))
+        return read_buffer[: self.read_limit]
 
     def _input_size(self) -> int:
         return self.listener.memory.input_size(len(self.listener.connections))
@@ -102,6 +106,9 @@
         self.host.loop_lag.note_input()
         self.last_data_at = self.listener.loop.time()
         self.socket_wait = self._measure_socket_wait()
+        if len(data) == self.read_limit and not self.reserved_bytes and unread_bytes(self.descriptor):
+            # what is left in the socket came before now, and is as old as what has just been read
+            self.unread_since = self.last_data_at - self.socket_wait
         self.listener.idle.pop(self, None)
         # a closing connection accepts nothing: its client's hang-up would go unnoticed
         accepts = self._may_process() and not self.transport.is_closing()
--- a/myrtlecourse/net/tcp_info.py
+++ b/myrtlecourse/net/tcp_info.py
@@ -1,9 +1,11 @@
-"""Reads what Linux tells of a TCP connection (tcp_info)."""
+"""Reads what Linux tells of a TCP connection (tcp_info, tcp(7))."""
 
 from __future__ import annotations
 
+import fcntl
 import socket
 import sys
+import termios
 import time
 
 # offsets of 32-bit fields in tcp_info
@@ -34,3 +36,12 @@
     """
     now = time.monotonic()
     return now - (data_age(connection) or 0.0)
+
+
+def unread_bytes(descriptor: int) -> int:
+    """Return how many bytes have been received on a connection and not been read."""
+    try:
+        count = fcntl.ioctl(descriptor, termios.FIONREAD, bytes(FIELD_SIZE))
+    except OSError:
+        return 0  # the connection has just ended
+    return int.from_bytes(count, sys.byteorder)
--- a/tests/test_net_command_age.py
+++ b/tests/test_net_command_age.py
@@ -68,3 +68,23 @@
             caches.stop()
 
     run(scenario)
+
+
+# Guards against commands that count as new, though they lay in the socket behind those that were read before.
+def test_commands_that_lay_unread_behind_others_are_as_old_as_those() -> None:
+    async def scenario() -> None:
+        async with Router() as router:
+            client = await router.client()
+            await until(lambda: bool(router.listener.connections))
+            (connection,) = router.listener.connections
+            sent_at = time.monotonic()
+            client.write(command("PING") * 2000)  # 28,000 bytes: more than is read at once
+            await until(lambda: connection.command_count > 0)
+            assert connection.unread_since is not None and connection.unread_since <= time.monotonic()
+            await asyncio.sleep(0)
+            await until(lambda: connection.command_count == 2000)
+            # the last of them were read later, and count from when the first came
+            assert connection.command_age >= connection.last_data_at - sent_at - SLACK_MS / 1000
+            assert connection.unread_since is None
+
+    run(scenario)
