Begin nothing for a client whose end may lie behind what is unread

Cause: the end of a connection is kept in the client's system while the router's socket has no room for what stands before it, so that no poll shows it. Commands from the socket, and further attempts of those in work, went on. Ruled out: polls that come late (every 20 ms). Change: while 16 KiB or more have lain unread for 0.08 s, further commands of the connection are refused, which is harmless to repeat, and no attempt begins for those in work; as they are read, the end comes into sight.

--- a/myrtlecourse/net/answer_slot.py
+++ b/myrtlecourse/net/answer_slot.py
@@ -216,7 +216,10 @@
     def client_connected(self) -> bool:
         """Return whether the client is still connected; asked just before an attempt begins."""
         connection = self.connection
-        return connection.check_connected(connection.listener.loop.time() - self.arrived_at < RECENT_READ)
+        recently_read = connection.listener.loop.time() - self.arrived_at < RECENT_READ
+        return connection.check_connected(recently_read) and not connection.may_have_left(
+            connection.unread_age()
+        )
 
     def _release_source(self) -> None:
         """Release what the source of a streamed answer holds. May be called again."""
--- a/myrtlecourse/net/clients.py
+++ b/myrtlecourse/net/clients.py
@@ -38,6 +38,10 @@
 # has taken its last answers
 LINGER_TIME = 0.5
 MAX_DISCARDED = 256 * 1024  # bytes read in that time, as a faulty client could go on sending at full speed
+# Bytes that lie unread from which on the end of the connection may not have come: the peer's system keeps it
+# back behind what this one has no room for.
+UNSEEN_END_BACKLOG = 16 * 1024
+UNSEEN_END_AGE = 0.08  # seconds for which they lie there; a client may have left so long ago
 ERROR_PAUSE = 0.1  # seconds for which a connection is not read after an error
 log = logging.getLogger(__name__)
 
@@ -244,6 +248,8 @@
         refusal = None
         if isinstance(parts, list) and 4 <= len(parts) <= 5 and isinstance(info := parts[3], bytes):
             refusal = self.host.refuse_early(info, self.command_age, self.core_wait)
+            if refusal is None and self.may_have_left(self.command_age):
+                refusal = busy_answer(self.host.settings.max_retry_after)
             # This fast path exists because refusals take a saturated core's time from other requests, and
             # most of them are retried.
             if refusal is not None and not self.slots and self.reading and not self.no_more_commands:
@@ -402,6 +408,18 @@
             self.on_hang_up()
         return not self.client_left
 
+    def may_have_left(self, unread_age: float) -> bool:
+        """Return whether the client may have left unseen, as much of its input has been unread for a while.
+
+        Args:
+            unread_age: seconds for which the oldest of its input has been unread.
+        """
+        return unread_age > UNSEEN_END_AGE and unread_bytes(self.descriptor) >= UNSEEN_END_BACKLOG
+
+    def unread_age(self) -> float:
+        """Return the seconds for which input may have lain in the socket; 0 if none was seen there."""
+        return 0.0 if self.unread_since is None else self.listener.loop.time() - self.unread_since
+
     def on_hang_up(self) -> None:
         """Handle that the client has hung up, which was found behind unread input."""
         self.cancel_requests()
