--- a/myrtlecourse/fleet/faults.py
+++ b/myrtlecourse/fleet/faults.py
@@ -137,7 +137,13 @@
     if isinstance(fault, scenarios.Reload):
         return [Step(fault.at + i * fault.pause, "reload", target) for i in range(fault.times)]
     silent = round(fault.clients * (1 - fault.begun))
-    counts = {"crowd": silent, "crowd_begun": fault.clients - silent, "crowd_leaving": fault.leaving}
+    counts = {
+        "crowd": silent,
+        "crowd_begun": fault.clients - silent,
+        "crowd_leaving": fault.leaving,
+        "crowd_writing": fault.writing,
+        "crowd_flooding": fault.flooding,
+    }
     return [Step(fault.at, action, target, float(n), fault.seconds) for action, n in counts.items()]
 
 
--- a/myrtlecourse/fleet/scenario.py
+++ b/myrtlecourse/fleet/scenario.py
@@ -262,7 +262,8 @@
 class Crowd(Struct, forbid_unknown_fields=True, frozen=True, tag="crowd", tag_field="what"):
     """Clients connect to a router all at once, send nothing or half a command, and stay for a while.
 
-    Beside them, others send commands of an unknown class, leave at once and come again.
+    Beside them, others send commands of an unknown class, leave at once and come again, write a long command
+    slowly and stop half way, or send commands at full speed.
     """
 
     at: Time
@@ -271,6 +272,8 @@
     clients: Annotated[int, Meta(ge=1, le=5000)] = 200
     begun: Share = 0.5  # share of the clients that send half a command
     leaving: Annotated[int, Meta(ge=0, le=100)] = 0  # clients that send unusable commands and leave
+    writing: Annotated[int, Meta(ge=0, le=1000)] = 0  # clients that write half of a long command slowly
+    flooding: Annotated[int, Meta(ge=0, le=10)] = 0  # clients that send commands at full speed
 
 
 class Split(Struct, forbid_unknown_fields=True, frozen=True, tag="split", tag_field="what"):
--- a/myrtlecourse/soak/cases.py
+++ b/myrtlecourse/soak/cases.py
@@ -18,9 +18,10 @@
 ANSWER_SLACK = 0.5  # seconds by which an answer may exceed its deadline before it counts as late
 MARGIN = 1.5  # seconds before the first fault, and after the end of the last one
 MAX_DRAWN_FAULTS = 8  # besides those below, each of which a share of the cases has
-MAX_FAULTS = MAX_DRAWN_FAULTS + 3
+MAX_FAULTS = MAX_DRAWN_FAULTS + 4
 SECOND_ANSWERS_SHARE = 0.4  # servers send second answers
 LEAVING_CLIENTS_SHARE = 0.4  # clients send unusable commands and leave while others fill a router
+PRESSING_CLIENTS_SHARE = 0.4  # clients write long commands slowly, or send commands at full speed
 STOPS_SHARE = 0.4  # a router is stopped again and again
 SERVER_COUNTS = (4, 12, 40, 120)  # numbers of cache servers
 
@@ -69,7 +70,7 @@
         self.deadline = rng.choice([0.4, 0.8, 1.5, 2.5])
         self.window = rng.choice([1.5, 4.0, 15.0])
         self.drain = rng.uniform(2.6, 4.0)
-        added = [*self._second_answers(), *self._leaving_clients(), *self._stops()]
+        added = [*self._second_answers(), *self._leaving_clients(), *self._pressing_clients(), *self._stops()]
         faults = sorted([*self._faults(), *added], key=lambda f: f.at)
         scenario = fleet.Scenario(
             seconds=self.seconds,
@@ -195,6 +196,16 @@
         router = rng.randrange(self.routers)
         return [fleet.Crowd(at, seconds, router, clients=rng.choice([600, 1200]), leaving=rng.randint(5, 20))]
 
+    def _pressing_clients(self) -> list[fleet.Fault]:
+        """Draw a crowd with clients that write slowly or send at full speed, from numbers of its own."""
+        rng = random.Random(f"{self.seed} pressing clients")
+        if rng.random() >= PRESSING_CLIENTS_SHARE:
+            return []
+        seconds = rng.uniform(1.0, min(3.0, self.seconds / 2))
+        at = rng.uniform(MARGIN, max(MARGIN, self.seconds - MARGIN - seconds))
+        router, writing, flooding = rng.randrange(self.routers), rng.choice([50, 300]), rng.randint(0, 2)
+        return [fleet.Crowd(at, seconds, router, clients=1, writing=writing, flooding=flooding)]
+
     def _stops(self) -> list[fleet.Fault]:
         """Draw a router that is held up again and again, for about the time limit of its dials."""
         rng = random.Random(f"{self.seed} stops")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -76,9 +76,11 @@
     assert min(found.values()) > 20
 
 
-def test_clients_that_leave_and_repeated_stops_are_drawn() -> None:
+def test_clients_that_leave_or_press_and_repeated_stops_are_drawn() -> None:
     faults = [fault for seed in range(200) for fault in draw_case(seed, 14.0).scenario.faults]
     assert sum(isinstance(f, fleet.Crowd) and f.leaving > 0 for f in faults) > 20
+    assert sum(isinstance(f, fleet.Crowd) and f.writing > 0 for f in faults) > 20
+    assert sum(isinstance(f, fleet.Crowd) and f.flooding > 0 for f in faults) > 20
     assert sum(isinstance(f, fleet.Stall) and f.times > 1 for f in faults) > 20
 
 
