Have a soak's clients repeat keyed writes only where their class permits it

A booking of a class whose keys a zone's servers share had failed; its client repeated it, and another router sent it to another zone. Cause: the case drew the group of the class for the servers and not for the load, whose clients took it for one that all servers share. No fault of the router: its answer was -ERR failed, and each router sent its request once. Change: one draw for both.

--- a/myrtlecourse/soak/cases.py
+++ b/myrtlecourse/soak/cases.py
@@ -21,6 +21,7 @@
 MAX_FAULTS = MAX_DRAWN_FAULTS + 4
 SECOND_ANSWERS_SHARE = 0.4  # servers send second answers
 LEAVING_CLIENTS_SHARE = 0.4  # clients send unusable commands and leave while others fill a router
+DEDUP_GROUPS: tuple[Literal["all", "zone", "cell"], ...] = ("all", "zone", "cell")
 PRESSING_CLIENTS_SHARE = 0.4  # clients write long commands slowly, or send commands at full speed
 STOPS_SHARE = 0.4  # a router is stopped again and again
 SERVER_COUNTS = (4, 12, 40, 120)  # numbers of cache servers
@@ -110,6 +111,7 @@
 
     def _classes(self) -> tuple[fleet.RequestClass, ...]:
         rng, deadline = self.rng, self.deadline
+        self.book_group = rng.choice(DEDUP_GROUPS)
         read = fleet.RequestClass("read", work=0.004, aim=deadline / 2, deadline=deadline)
         book = fleet.RequestClass(
             "book",
@@ -117,7 +119,7 @@
             aim=deadline / 2,
             deadline=deadline,
             effect="guarded",
-            group=rng.choice(["all", "zone", "cell"]),
+            group=self.book_group,
             window=self.window,
             worth=3.0,
         )
@@ -137,7 +139,9 @@
             seed=self.seed,
             classes=(
                 load.RequestClass("read", 8.0, deadline, deadline / 2),
-                load.RequestClass("book", 1.0, deadline, deadline / 2, write=True, keyed=True),
+                load.RequestClass(
+                    "book", 1.0, deadline, deadline / 2, write=True, keyed=True, group=self.book_group
+                ),
                 load.RequestClass("once", 0.5, deadline, deadline / 2, write=True),
             ),
             keys=load.Keys(count=rng.choice([50, 2000])),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -84,6 +84,14 @@
     assert sum(isinstance(f, fleet.Stall) and f.times > 1 for f in faults) > 20
 
 
+# Guards against days whose clients repeat a write in a group of servers that does not know its key.
+def test_clients_repeat_keyed_writes_only_as_their_class_permits() -> None:
+    for seed in range(50):
+        case = draw_case(seed, 14.0)
+        groups = {c.name: c.group for c in case.scenario.classes}
+        assert all(c.group == groups[c.name] for c in case.profile.classes)
+
+
 @pytest.fixture(scope="module")
 def library(tmp_path_factory: pytest.TempPathFactory) -> Path:
     return compile_library(tmp_path_factory.mktemp("library"))
