--- a/myrtlecourse/net/clients.py
+++ b/myrtlecourse/net/clients.py
@@ -17,6 +17,7 @@
 from myrtlecourse.net.delivery import DeliveryProgress, untaken_bytes
 from myrtlecourse.net.hangup import has_hung_up
 from myrtlecourse.net.host import Host, busy_answer
+from myrtlecourse.net.rate_limited_log import RateLimitedLog
 from myrtlecourse.net.request_log import CloseReason
 from myrtlecourse.net.resp import INCOMPLETE, Message, Reader, RespError, split_command
 from myrtlecourse.net.tcp_info import data_age, unread_bytes
@@ -44,6 +45,7 @@
 UNSEEN_END_AGE = 0.08  # seconds for which they lie there; a client may have left so long ago
 ERROR_PAUSE = 0.1  # seconds for which a connection is not read after an error
 log = logging.getLogger(__name__)
+rate_limited_log = RateLimitedLog(log)
 
 
 # The buffer is shared by all connections: what one has read is copied out before the next one reads.
@@ -226,6 +228,8 @@
         A command that has not arrived completely has not been accepted, so that repeating it is harmless.
         """
         if self.awaiting_reservation and not self.transport.is_closing():
+            size = self.reservation_size // 2
+            rate_limited_log.log(logging.INFO, "refused a command of %d bytes: no memory", size)
             self._release_reservation()
             self.close_with_error(busy_answer(self.host.settings.max_retry_after).decode().rstrip())
 
@@ -249,6 +253,7 @@
         if isinstance(parts, list) and 4 <= len(parts) <= 5 and isinstance(info := parts[3], bytes):
             refusal = self.host.refuse_early(info, self.command_age, self.core_wait)
             if refusal is None and self.may_have_left(self.command_age):
+                rate_limited_log.log(logging.INFO, "refused commands of a client that may have left unseen")
                 refusal = busy_answer(self.host.settings.max_retry_after)
             # This fast path exists because refusals take a saturated core's time from other requests, and
             # most of them are retried.
@@ -270,6 +275,8 @@
         try:
             command = read_command(parts)
             if not slot.hold_command(command.size()):
+                held = self.listener.memory.commands.held
+                rate_limited_log.log(logging.INFO, "refused a command: %d bytes of commands are held", held)
                 slot.send(busy_answer(self.host.settings.max_retry_after))
                 return
             slot.request_id = command.request_id.decode()
--- a/myrtlecourse/net/host.py
+++ b/myrtlecourse/net/host.py
@@ -389,6 +389,8 @@
         """Begin to forward a long answer that has begun: its first bytes are still in time."""
         for attempt in list(request.open_attempts.values()):
             if attempt.exchange is not None and attempt.exchange.forward_held():
+                if self.request_log.enabled:
+                    self.request_log.event(request.request_id, "passed-on-at-deadline", no=attempt.number)
                 return
 
     def _check_stream_later(self, request: RequestInFlight) -> None:
--- a/myrtlecourse/net/in_flight.py
+++ b/myrtlecourse/net/in_flight.py
@@ -109,6 +109,9 @@
 
     def on_answer_stalled(self, replaceable: bool) -> None:
         """Tell the decision module, which may start another attempt."""
+        log = self.host.request_log
+        if log.enabled:
+            log.event(self.request.request_id, "stalled", no=self.number, replaceable=replaceable)
         self.host.post(api.AnswerStalled(self.request.request_id, self.number, replaceable))
 
     def begin_stream(self, length: int, source: Exchange) -> bool:
