Start without access to the C library's allocator where the system refuses it

Found in review: an import of ctypes at the start needs memory that may be executed; a hardened system that refuses it would have ended the router's start. Freed memory is not given back then, and a line says so.

--- a/myrtlecourse/net/process_memory.py
+++ b/myrtlecourse/net/process_memory.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
-import ctypes
+import logging
 import os
+from collections.abc import Callable
 from pathlib import Path
 
+log = logging.getLogger(__name__)
 STATM = Path("/proc/self/statm")
 # parameters of mallopt(3)
 M_TRIM_THRESHOLD = -1
@@ -29,7 +31,16 @@
     """The memory allocator of the C library, if it is one that can be told to give memory back."""
 
     def __init__(self) -> None:
-        library = ctypes.CDLL(None)
+        self.set_option: Callable[[int, int], int] | None = None
+        self.trim: Callable[[int], int] | None = None
+        try:
+            # imported here, as it needs memory that may be executed, which a hardened system can refuse
+            import ctypes  # noqa: PLC0415
+
+            library = ctypes.CDLL(None)
+        except Exception as e:
+            log.warning("freed memory is not given back to the system: %r", e)
+            return
         self.set_option = getattr(library, "mallopt", None)
         self.trim = getattr(library, "malloc_trim", None)
 
