--- a/myrtlecourse/fleet/pressing_clients.py
+++ b/myrtlecourse/fleet/pressing_clients.py
@@ -24,6 +24,8 @@
     reader, writer = await asyncio.open_connection(*address)
     try:
         for start in range(0, len(LONG_COMMAND) // 2, PIECE_SIZE):
+            if writer.is_closing():
+                return
             writer.write(LONG_COMMAND[start : start + PIECE_SIZE])
             await asyncio.sleep(PIECE_PAUSE)
         while await reader.read(ANSWERS_READ):
@@ -36,7 +38,7 @@
     """Send commands at full speed and read the answers, until cancelled."""
     reader, writer = await asyncio.open_connection(*address)
     try:
-        while True:
+        while not writer.is_closing():
             writer.write(FLOOD)
             await writer.drain()
             await reader.read(ANSWERS_READ)
