--- a/bench/client_memory.py
+++ b/bench/client_memory.py
@@ -24,7 +24,7 @@
 from uvloop import new_event_loop
 
 from bench import rig
-from myrtlecourse.fleet.pressing_clients import LONG_COMMAND, Address, flood, press, write_half
+from myrtlecourse.fleet.abusive_clients import LONG_COMMAND, Address, flood, run_clients, write_half
 from myrtlecourse.net.resp import encode_command
 
 SECONDS = 6.0  # for which clients press the router
@@ -113,13 +113,15 @@
     await asyncio.gather(*asking)
 
 
-async def play(kind: str, address: Address, process: int, clients: int) -> None:
+async def play(kind: str, address: Address, process: int, number: int) -> None:
     """Play one kind of client against a router and print its row."""
     before, outcomes = private_bytes(process), Counter[str]()
     highest = [before]
     watching = asyncio.create_task(watch(process, highest))
-    count = 1 if kind == "flood" else clients
-    await asyncio.gather(press(KINDS[kind], address, count, SECONDS), ask_evenly(address, outcomes))
+    count = 1 if kind == "flood" else number
+    await asyncio.gather(
+        run_clients(KINDS[kind], address, count, SECONDS, again=False), ask_evenly(address, outcomes)
+    )
     await asyncio.sleep(SETTLING_TIME)
     watching.cancel()
     figures = [b / MEGABYTE for b in (before, highest[0], private_bytes(process))]
--- a/myrtlecourse/fleet/routers.py
+++ b/myrtlecourse/fleet/routers.py
@@ -18,8 +18,8 @@
 from typing import Any
 
 from myrtlecourse.audit import observations as seen
+from myrtlecourse.fleet.abusive_clients import flood, run_clients, write_half
 from myrtlecourse.fleet.faults import Step
-from myrtlecourse.fleet.pressing_clients import flood, press, write_half
 
 # The same as `run` in the deploy file. SIGHUP is ignored at first, so that a new configuration during a
 # start does not end the process.
@@ -35,7 +35,7 @@
 LISTENING = b"listening on "
 TAKES_CALLS = b"operators call "
 CALL_TIME = 1.0  # seconds in which a call must be answered
-PRESSING_CLIENTS = {"crowd_writing": write_half, "crowd_flooding": flood}  # by the action of a step
+ABUSIVE_CLIENTS = {"crowd_writing": write_half, "crowd_flooding": flood}  # by the action of a step
 SIGNAL_PAUSE = 0.02  # seconds between two signals of a series
 READY_TIME = 6.0  # seconds in which the new process of an upgrade must be ready
 RETURN_LINE = re.compile(r"^(\S+ \S+) INFO zones coming back: (.*)$", re.MULTILINE)
@@ -309,9 +309,11 @@
         if step.action == "crowd_leaving":
             self.run_in_background(router.open_leaving_clients(round(step.value), step.duration))
             return
-        if step.action in PRESSING_CLIENTS:
-            client = PRESSING_CLIENTS[step.action]
-            self.run_in_background(press(client, router.address, round(step.value), step.duration))
+        if step.action in ABUSIVE_CLIENTS:
+            client = ABUSIVE_CLIENTS[step.action]
+            self.run_in_background(
+                run_clients(client, router.address, round(step.value), step.duration, again=False)
+            )
             return
         if step.action in ("crowd", "crowd_begun"):
             self.run_in_background(
--- a/myrtlecourse/soak/cases.py
+++ b/myrtlecourse/soak/cases.py
@@ -22,7 +22,7 @@
 SECOND_ANSWERS_SHARE = 0.4  # servers send second answers
 LEAVING_CLIENTS_SHARE = 0.4  # clients send unusable commands and leave while others fill a router
 DEDUP_GROUPS: tuple[Literal["all", "zone", "cell"], ...] = ("all", "zone", "cell")
-PRESSING_CLIENTS_SHARE = 0.4  # clients write long commands slowly, or send commands at full speed
+ABUSIVE_CLIENTS_SHARE = 0.4  # clients write long commands slowly, or send commands at full speed
 STOPS_SHARE = 0.4  # a router is stopped again and again
 SERVER_COUNTS = (4, 12, 40, 120)  # numbers of cache servers
 
@@ -71,7 +71,7 @@
         self.deadline = rng.choice([0.4, 0.8, 1.5, 2.5])
         self.window = rng.choice([1.5, 4.0, 15.0])
         self.drain = rng.uniform(2.6, 4.0)
-        added = [*self._second_answers(), *self._leaving_clients(), *self._pressing_clients(), *self._stops()]
+        added = [*self._second_answers(), *self._leaving_clients(), *self._abusive_clients(), *self._stops()]
         faults = sorted([*self._faults(), *added], key=lambda f: f.at)
         scenario = fleet.Scenario(
             seconds=self.seconds,
@@ -200,10 +200,10 @@
         router = rng.randrange(self.routers)
         return [fleet.Crowd(at, seconds, router, clients=rng.choice([600, 1200]), leaving=rng.randint(5, 20))]
 
-    def _pressing_clients(self) -> list[fleet.Fault]:
+    def _abusive_clients(self) -> list[fleet.Fault]:
         """Draw a crowd with clients that write slowly or send at full speed, from numbers of its own."""
         rng = random.Random(f"{self.seed} pressing clients")
-        if rng.random() >= PRESSING_CLIENTS_SHARE:
+        if rng.random() >= ABUSIVE_CLIENTS_SHARE:
             return []
         seconds = rng.uniform(1.0, min(3.0, self.seconds / 2))
         at = rng.uniform(MARGIN, max(MARGIN, self.seconds - MARGIN - seconds))
