Free a command's bytes when its client leaves, before its reservation goes to others

Callers saw: a process killed at its memory limit.

Cause: the end of a client's connection released the memory reserved for its command at once, while the command's bytes stayed in the connection's buffer, and the connection for 0.5 s more (LINGER_TIME, held by its timer). The reservation went to the next client, whose bytes were in the socket already, and which had left as well. So within 0.5 s the buffers of all 496 connections were full under reservations for 19.

Fix: what a connection holds of a command is freed before its reservation is released, in one function for each way in which a command is given up; input that comes after the client's end is dropped.

--- a/myrtlecourse/net/clients.py
+++ b/myrtlecourse/net/clients.py
@@ -109,6 +109,8 @@
             if self.discarded_bytes > MAX_DISCARDED:
                 self.abort(CloseReason.UNEXPECTED_BYTES)
             return
+        if self.client_left:
+            return
         self.host.loop_lag.note_input()
         self.last_data_at = self.listener.loop.time()
         self.socket_wait = self._measure_socket_wait()
@@ -248,6 +250,11 @@
             reserved, self.reserved_bytes = self.reserved_bytes, 0
             self.listener.upload_memory.release(reserved)
 
+    def _discard_input(self) -> None:
+        """Free what has been read of a command, and then the memory that was reserved for it."""
+        self.reader.buffer.clear()
+        self._release_reservation()
+
     def _process_command(self, parts: Message | list[bytes]) -> None:
         refusal = None
         if isinstance(parts, list) and 4 <= len(parts) <= 5 and isinstance(info := parts[3], bytes):
@@ -334,8 +341,7 @@
         self.no_more_commands = True
         # Input that arrives until the earlier answers are sent is of no use, and would take memory.
         self.update_reading()
-        self.reader.buffer.clear()
-        self._release_reservation()
+        self._discard_input()
         slot = AnswerSlot(self)
         self.slots.append(slot)
         self.complete(slot, error.encode("ascii", "replace") + b"\r\n")
@@ -368,8 +374,7 @@
             return
         record_close(self.descriptor, reason, len(self.slots), 0)
         self.no_more_commands = self.half_closed = True
-        self.reader.buffer.clear()
-        self._release_reservation()
+        self._discard_input()
         self.listener.linger(self)
         try:
             self.transport.write_eof()
@@ -435,7 +440,7 @@
     def cancel_requests(self) -> None:
         """Cancel the requests of this connection, as no answer can reach the client any more."""
         self.client_left = True
-        self._release_reservation()
+        self._discard_input()
         slots, self.slots = self.slots, deque()
         for slot in slots:
             slot.release()
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -85,6 +85,7 @@
         for task, writer in list(connections.items()):
             task.cancel()
             writer.transport.abort()
+        await asyncio.sleep(0)  # lets the aborted connections end
 
 
 @asynccontextmanager
@@ -166,6 +167,7 @@
             client = Link(*await asyncio.open_connection(*router.address))
             client.write(command("PING"))
             assert await client.resp() == b"PONG"
+            client.close()
             highest.append(highest_memory(router))
 
     run(scenario, timeout=60.0)
