Refuse long command parts at their header: 4 MiB of short fields became 80 MB

Callers saw: a process killed at its memory limit, by one read whose names and values are 4 MiB of short fields.

Cause: any part of a command could be as long as a value. Its bytes were reserved twice, but before the length of the names and values was checked (read_info), Host.refuse_early split them into a million strings: over 50 bytes for each field of three, which no account knows.

Fix: the parser of commands allows more than 4 KiB in a value alone, and says so when the header of the string has come, so that such a part is never read nor reserved; refuse_early leaves names and values over 1,024 bytes to the full check. Parts of 1 to 4 KiB get the errors that they got before; longer ones an error and a close, as any string that is too long.

--- a/myrtlecourse/net/clients.py
+++ b/myrtlecourse/net/clients.py
@@ -31,6 +31,7 @@
 # runs; a final answer may be so much late.
 RESERVATION_TIMEOUT = 0.5
 MAX_PARTS = 16  # parts of a command
+VALUE_PART = 4  # the position of a write's value, the only part that may be long
 MAX_PIPELINED = 32  # unanswered commands per connection
 MAX_FAST_PATH = 4096  # bytes that are parsed on the fast path
 READ_SIZE = 64 * 1024  # bytes that are read at once of a long value
@@ -60,7 +61,7 @@
         self.socket = client
         self.descriptor = client.fileno()
         self.listener = listener
-        self.reader = Reader(MAX_PARTS, MAX_VALUE, MAX_COMMAND)
+        self.reader = Reader(MAX_PARTS, MAX_VALUE, MAX_COMMAND, long_item=VALUE_PART)
         self.slots: deque[AnswerSlot] = deque()
         self.command_count = 0  # complete commands that have arrived
         self.socket_wait = 0.0  # seconds for which the latest bytes lay in the socket
--- a/myrtlecourse/net/host.py
+++ b/myrtlecourse/net/host.py
@@ -16,7 +16,7 @@
 
 from myrtlecourse import interface as api
 from myrtlecourse.net.clock import Clock
-from myrtlecourse.net.command import Command, CommandError
+from myrtlecourse.net.command import MAX_INFO, Command, CommandError
 from myrtlecourse.net.exchange import Exchange
 from myrtlecourse.net.executed_ids import ExecutedIds
 from myrtlecourse.net.in_flight import AnswerSink, Attempt, RequestInFlight
@@ -290,6 +290,8 @@
         """
         if self.router.admission is None and self.router.accepting and self.answer_deadline == math.inf:
             return None
+        if len(info) > MAX_INFO:
+            return None
         request_class = tenant = ""
         is_retry = has_idempotency_key = False
         time_left = math.inf
--- a/myrtlecourse/net/resp.py
+++ b/myrtlecourse/net/resp.py
@@ -14,6 +14,7 @@
 MAX_LINE = 1024  # bytes of an error line or simple string
 MAX_NUMBER = 20  # bytes of a number or length
 MAX_DEPTH = 4  # levels of nested arrays
+MAX_SHORT_BULK = 4096  # bytes of a bulk string where only one item of a message may be long
 MAX_FAST_PATH_PARTS = 8  # parts of a command that is parsed on the fast path
 INTEGER = re.compile(rb"-?[0-9]{1,19}")
 LENGTH = re.compile(rb"-1|[0-9]{1,10}")
@@ -64,10 +65,19 @@
 class Reader:
     """Parses bytes into messages as they arrive; bulk strings become bytes, simple strings become text."""
 
-    def __init__(self, max_items: int, max_bulk: int, max_message: int) -> None:
+    def __init__(self, max_items: int, max_bulk: int, max_message: int, long_item: int | None = None) -> None:
+        """Create a parser.
+
+        Args:
+            max_items: items of an array.
+            max_bulk: bytes of a bulk string.
+            max_message: bytes of a message.
+            long_item: the only item of a message whose bulk string may exceed `MAX_SHORT_BULK`; None for any.
+        """
         self.max_items = max_items
         self.max_bulk = max_bulk
         self.max_message = max_message
+        self.long_item = long_item
         self.buffer = bytearray()
         self.announced_size = 0  # the least size in bytes of the incomplete message
 
@@ -85,7 +95,7 @@
         if not self.buffer:
             return INCOMPLETE
         try:
-            message, end = self._read(0, 0)
+            message, end = self._read(0, 0, self.max_bulk)
         except IndexError:
             return INCOMPLETE
         self.announced_size = 0
@@ -107,12 +117,12 @@
             raise RespError("number can't be read")
         return int(line), end
 
-    def _read(self, start: int, depth: int) -> tuple[Message, int]:
+    def _read(self, start: int, depth: int, max_bulk: int) -> tuple[Message, int]:
         """Return the message at an offset, and the offset after it; raise IndexError if it is incomplete."""
         kind = self.buffer[start]
         start += 1
         if kind == 0x24:  # $
-            return self._bulk(start)
+            return self._bulk(start, max_bulk)
         if kind == 0x2A:  # *
             return self._array(start, depth)
         if kind == 0x3A:  # :
@@ -125,13 +135,13 @@
         text = line.decode("latin-1")
         return (ErrorLine(text) if kind == 0x2D else text), end
 
-    def _bulk(self, start: int) -> tuple[bytes | None, int]:
+    def _bulk(self, start: int, max_bulk: int) -> tuple[bytes | None, int]:
         length, start = self._number(LENGTH, start)
         if length < 0:
             return None, start
         end = start + length
         # A string announced as too long is rejected before it arrives, which bounds memory.
-        if length > self.max_bulk or end > self.max_message:
+        if length > max_bulk or end > self.max_message:
             raise RespError("string is too long")
         self.announced_size = end + 2
         terminator = self.buffer[end : end + 2]
@@ -151,7 +161,9 @@
         if count > self.max_items or depth >= MAX_DEPTH:
             raise RespError("array is too long or too deep")
         items: list[Message] = []
-        for _ in range(count):
-            item, start = self._read(start, depth + 1)
+        for index in range(count):
+            may_be_long = self.long_item is None or (depth == 0 and index == self.long_item)
+            max_bulk = self.max_bulk if may_be_long else MAX_SHORT_BULK
+            item, start = self._read(start, depth + 1, max_bulk)
             items.append(item)
         return items, start
--- a/tests/test_net_resp.py
+++ b/tests/test_net_resp.py
@@ -6,7 +6,15 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from myrtlecourse.net.resp import INCOMPLETE, ErrorLine, Reader, RespError, encode_command, split_command
+from myrtlecourse.net.resp import (
+    INCOMPLETE,
+    MAX_SHORT_BULK,
+    ErrorLine,
+    Reader,
+    RespError,
+    encode_command,
+    split_command,
+)
 
 MESSAGES = [
     (b"*3\r\n$5\r\nva\r\nl\r\n$3\r\nhit\r\n$-1\r\n", [b"va\r\nl", b"hit", None]),
@@ -99,3 +107,22 @@
     ]
     assert split_command(encode_command([b"PING"])) == [b"PING"]
     assert split_command(encode_command([b"PING"]) * 2) is None  # two commands are left to the reader
+
+
+def limited_reader() -> Reader:
+    return Reader(max_items=4, max_bulk=2 * MAX_SHORT_BULK, max_message=10**6, long_item=1)
+
+
+# Guards against memory for strings that no valid command has: only a value may be long (incident 78).
+@pytest.mark.parametrize("header", [b"*2\r\n$%d\r\n", b"*2\r\n$1\r\nx\r\n*1\r\n$%d\r\n"])
+def test_only_the_long_item_may_be_long(header: bytes) -> None:
+    got = limited_reader()
+    got.feed(header % (MAX_SHORT_BULK + 1))
+    with pytest.raises(RespError):
+        got.next_message()
+
+
+def test_the_long_item_may_be_long() -> None:
+    got, value = limited_reader(), bytes(2 * MAX_SHORT_BULK)
+    got.feed(encode_command([b"x", value]))
+    assert got.next_message() == [b"x", value]
