--- a/myrtlecourse/net/http.py
+++ b/myrtlecourse/net/http.py
@@ -18,6 +18,8 @@
 HEADER_VALUE = re.compile(rb"[!-~]+(?: [!-~]+)*")
 FRAMING_HEADERS = (b"transfer-encoding", b"connection", b"upgrade")
 KEEP_ALIVE = (b"connection", b"keep-alive")
+# The fields that are kept until the body has come: of all others a head may have thousands, on each connection.
+KEPT_HEADERS = frozenset({b"content-length", b"not-started"})
 BODILESS_STATUSES = (204, 304)
 LOAD_REPORT = re.compile(rb"\r\nserver-load:.*?(?=\r\n)", re.IGNORECASE | re.DOTALL)
 
@@ -28,7 +30,7 @@
 
 @dataclass(slots=True, frozen=True)
 class Response:
-    """A complete response; header names are in lower case."""
+    """A complete response; of its headers only `KEPT_HEADERS`, with names in lower case."""
 
     status: int
     headers: dict[bytes, bytes]
@@ -55,7 +57,7 @@
         self.has_extra_bytes = False  # whether bytes follow the body
         self.head_buffer = bytearray()  # an incomplete head
         self.head_expected = True
-        self.head: h11.Response | None = None
+        self.head: Response | None = None  # of a response that h11 parses
         self.body = bytearray()
         self.streamed_length = 0  # length of a body that is appended to `chunks`, or 0
         self.chunks: list[bytes] = []
@@ -99,12 +101,15 @@
         if (match := RESPONSE_HEAD.match(data)) is None:
             return None
         headers: dict[bytes, bytes] = {}
+        names: set[bytes] = set()
         for line in match[2].split(b"\r\n")[:-1]:
             name, _, value = line.partition(b":")
             name, value = name.lower(), value.strip()
-            if name in headers or (name in FRAMING_HEADERS and (name, value.lower()) != KEEP_ALIVE):
+            if name in names or (name in FRAMING_HEADERS and (name, value.lower()) != KEEP_ALIVE):
                 return None
-            headers[name] = value
+            names.add(name)
+            if name in KEPT_HEADERS:
+                headers[name] = value
         length = headers.get(b"content-length", b"")
         if (
             not length.isdigit()
@@ -203,13 +208,13 @@
                 if event is h11.NEED_DATA:
                     return None
                 if isinstance(event, h11.Response):
-                    self.head = event
-                    headers = dict(event.headers)
+                    headers = {name: value for name, value in event.headers if name in KEPT_HEADERS}
+                    self.head = Response(event.status_code, headers, b"")
                     self._begin_body(event.status_code, int(headers.get(b"content-length", b"0")))
                 elif isinstance(event, h11.Data):
                     self._add_body(bytes(event.data))
                 elif isinstance(event, h11.EndOfMessage) and self.head is not None:
-                    return Response(self.head.status_code, dict(self.head.headers), bytes(self.body))
+                    return Response(self.head.status, self.head.headers, bytes(self.body))
                 elif not isinstance(event, h11.InformationalResponse):
                     raise HttpError(f"expected a response, got {event!r}")
         except h11.RemoteProtocolError as e:
