Count a command's memory until its last attempt has ended, not until its client leaves

Callers saw: a process over its memory limit, where the settings allow no attempt to be cancelled and clients of large writes leave: 75 MB where 64 are allowed.

Cause: the memory of a command was counted, and reserved, by its slot in the order of answers. The end of the client released the slot; the request's value and its copy in the buffer of a connection to a slow origin stayed until the attempt ended, up to the client's deadline (60 s in the test, 600 s at most).

Fix: a CommandMemory goes with the command, and is released where the host removes the request. A command without a reservation counts twice, as its forwarded copy may lie there too. The slot keeps its own 4 KiB.

--- a/myrtlecourse/net/answer_slot.py
+++ b/myrtlecourse/net/answer_slot.py
@@ -11,7 +11,8 @@
 from enum import Enum, auto
 from typing import TYPE_CHECKING
 
-from myrtlecourse.net.client_memory import COMMAND_COST, SMALL_ANSWER
+from myrtlecourse.net.client_memory import COMMAND_COST, COPIES, SMALL_ANSWER, CommandMemory
+from myrtlecourse.net.command import Command
 from myrtlecourse.net.exchange import Exchange
 from myrtlecourse.net.host import FAILED_ANSWER
 from myrtlecourse.net.request_log import CloseReason
@@ -66,17 +67,19 @@
         self.sent_any = False  # whether the client has been sent a part of the streamed answer
         self.counted_in_windows = False  # whether `StreamWindows` counts its stream
         self.gathered_bytes = 0  # memory reserved for gathering the streamed answer
-        self.reserved_bytes = 0  # memory reserved for its command
-        self.held_command = 0  # the memory that its command takes, as `ClientMemory` counts it
-
-    def hold_command(self, size: int) -> bool:
-        """Count the memory of the command, whose parts have `size` bytes; return False if there is none."""
-        commands = self.connection.listener.memory.commands
-        needed = COMMAND_COST + (0 if self.reserved_bytes else size)
-        if not commands.fits(needed):
+        self.reserved_bytes = 0  # memory reserved for its command, until that is accepted
+        self.held_command = 0  # the memory that the slot takes, as `ClientMemory` counts it
+
+    def hold_command(self, command: Command) -> bool:
+        """Count the memory of the slot and its command; return False if there is none."""
+        memory = self.connection.listener.memory
+        copies = 0 if self.reserved_bytes else COPIES * command.size()
+        if not memory.commands.fits(COMMAND_COST + copies):
             return False
-        self.held_command = needed
-        commands.held += needed
+        self.held_command = COMMAND_COST
+        memory.commands.held += COMMAND_COST
+        command.memory = CommandMemory(memory, copies, self.reserved_bytes)
+        self.reserved_bytes = 0
         return True
 
     def has_room_for(self, size: int) -> bool:
--- a/myrtlecourse/net/client_memory.py
+++ b/myrtlecourse/net/client_memory.py
@@ -21,6 +21,7 @@
 MAX_INPUT = 16 * 1024  # bytes that one connection may hold of a command without a reservation
 MIN_INPUT = 4 * 1024  # the same with many connections: as much as the longest command without its value
 COMMAND_COST = 4 * 1024  # bytes that a command in work takes in addition to its parts
+COPIES = 2  # of a command's parts: as received, and as written to a server that reads slowly
 SMALL_ANSWER = 4 * 1024  # bytes of an answer that is always given
 
 
@@ -59,3 +60,24 @@
     def input_size(self, connections: int) -> int:
         """Return the bytes that each of so many connections may hold of a command without a reservation."""
         return max(MIN_INPUT, min(MAX_INPUT, self.input_budget // max(1, connections)))
+
+
+class CommandMemory:
+    """The memory of a command's parts and their forwarded copy, until its last attempt has ended."""
+
+    __slots__ = ("held", "memory", "reserved")
+
+    def __init__(self, memory: ClientMemory, held: int, reserved: int) -> None:
+        """Count `held` bytes of the command; `reserved` bytes have been reserved for it before."""
+        self.memory = memory
+        self.held = held
+        self.reserved = reserved
+        memory.commands.held += held
+
+    def release(self) -> None:
+        """Free the memory. May be called again."""
+        held, self.held = self.held, 0
+        reserved, self.reserved = self.reserved, 0
+        self.memory.commands.held -= held
+        if reserved:
+            self.memory.values.release(reserved)
--- a/myrtlecourse/net/clients.py
+++ b/myrtlecourse/net/clients.py
@@ -11,7 +11,7 @@
 from myrtlecourse.net.answer_slot import AnswerSlot
 from myrtlecourse.net.client_closes import record_close, record_unexpected_end
 from myrtlecourse.net.client_memory import COMMAND_COST, SMALL_ANSWER
-from myrtlecourse.net.command import MAX_INFO, MAX_KEY, MAX_VALUE, CommandError, read_command
+from myrtlecourse.net.command import MAX_INFO, MAX_KEY, MAX_VALUE, Command, CommandError, read_command
 from myrtlecourse.net.command_turns import FIRST_COMMANDS, TURN_COMMANDS
 from myrtlecourse.net.connection import has_unread_input
 from myrtlecourse.net.delivery import DeliveryProgress, untaken_bytes
@@ -282,13 +282,13 @@
             return
         try:
             command = read_command(parts)
-            if not slot.hold_command(command.size()):
+            if not slot.hold_command(command):
                 held = self.listener.memory.commands.held
                 rate_limited_log.log(logging.INFO, "refused a command: %d bytes of commands are held", held)
                 slot.send(busy_answer(self.host.settings.max_retry_after))
                 return
             slot.request_id = command.request_id.decode()
-            self.host.accept(command, slot, self.command_age)
+            self._accept(command, slot)
         except CommandError as e:
             slot.request_id = None
             # The connection is not read for a while: a client that sends errors at full speed would take the
@@ -298,6 +298,14 @@
             asyncio.get_running_loop().call_later(ERROR_PAUSE, self._end_error_pause)
             slot.send(b"-ERR %b\r\n" % str(e).encode("ascii", "replace"))
 
+    def _accept(self, command: Command, slot: AnswerSlot) -> None:
+        """Pass a command to the host, which frees its memory once nothing of it is needed any more."""
+        try:
+            self.host.accept(command, slot, self.command_age)
+        except CommandError:
+            command.release_memory()
+            raise
+
     def _end_error_pause(self) -> None:
         self.paused_after_error = False
         self.listener.paused_after_error.pop(self, None)
--- a/myrtlecourse/net/command.py
+++ b/myrtlecourse/net/command.py
@@ -3,6 +3,10 @@
 from __future__ import annotations
 
 import re
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from myrtlecourse.net.client_memory import CommandMemory
 
 MAX_VALUE = 4 * 1024 * 1024  # bytes of a value that a client sends
 MAX_BUFFERED_ANSWER = 64 * 1024  # bytes of an answer that is buffered whole; longer ones are streamed
@@ -25,7 +29,7 @@
     The names and values are kept as text: of a thousand bytes, a dictionary would take thirty times as many.
     """
 
-    __slots__ = ("deadline_ms", "info_text", "key", "request_id", "value", "verb")
+    __slots__ = ("deadline_ms", "info_text", "key", "memory", "request_id", "value", "verb")
 
     def __init__(
         self,
@@ -42,6 +46,7 @@
         self.info_text = info if isinstance(info, bytes) else encode_info(info)
         self.deadline_ms = deadline_ms
         self.value = value
+        self.memory: CommandMemory | None = None  # what it takes of the memory that clients may use
 
     @property
     def is_write(self) -> bool:
@@ -57,6 +62,11 @@
         """Return the bytes of the parts."""
         return len(self.key) + len(self.request_id) + len(self.info_text) + len(self.value or b"")
 
+    def release_memory(self) -> None:
+        """Free the memory that the command takes, as it is not forwarded any more."""
+        if self.memory is not None:
+            self.memory.release()
+
     def encode_info(self, time_left: float) -> bytes:
         """Encode the names and values in their order; `d` becomes the milliseconds the router will wait."""
         return encode_info(self.info | {"d": str(max(1, int(time_left * 1000)))})
--- a/myrtlecourse/net/host.py
+++ b/myrtlecourse/net/host.py
@@ -463,6 +463,7 @@
         request = self.requests.get(request_id)
         if request is not None and request.closed and not request.open_attempts:
             del self.requests[request_id]
+            request.command.release_memory()
             now = self.clock.now()
             too_many = len(self.recent_ids) >= MAX_RECENT_IDS
             if too_many or now - self.id_generation_started_at > MIN_ID_MEMORY:
--- a/myrtlecourse/net/http.py
+++ b/myrtlecourse/net/http.py
@@ -18,7 +18,7 @@
 HEADER_VALUE = re.compile(rb"[!-~]+(?: [!-~]+)*")
 FRAMING_HEADERS = (b"transfer-encoding", b"connection", b"upgrade")
 KEEP_ALIVE = (b"connection", b"keep-alive")
-# The fields that are kept until the body has come: of all others a head may have thousands, on each connection.
+# The fields that are kept until the body has come: a head may have thousands, on each connection.
 KEPT_HEADERS = frozenset({b"content-length", b"not-started"})
 BODILESS_STATUSES = (204, 304)
 LOAD_REPORT = re.compile(rb"\r\nserver-load:.*?(?=\r\n)", re.IGNORECASE | re.DOTALL)
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -27,6 +27,7 @@
 LONG_VALUE = 4_000_000  # bytes
 SHORT_VALUE = 60_000  # bytes, which are gathered before any of it is passed on
 LATE_END = 100  # bytes that a server holds back of a value
+LONG_DEADLINE_MS = 60_000
 MEGABYTE = 1024 * 1024
 MISS = b"*3\r\n$-1\r\n$4\r\nmiss\r\n$-1\r\n"
 pytestmark = pytest.mark.processes
@@ -89,7 +90,9 @@
 
 
 @asynccontextmanager
-async def router_in_front_of_servers(folder: Path, memory_mb: int) -> AsyncIterator[RouterProcess]:
+async def router_in_front_of_servers(
+    folder: Path, memory_mb: int, may_cancel: bool
+) -> AsyncIterator[RouterProcess]:
     servers = Servers()
     async with AsyncExitStack() as stack:
         await stack.enter_async_context(servers.discovery)
@@ -100,34 +103,41 @@
         cache, origin = configuration["known"]["endpoints"]
         caches = [{**cache, "name": f"cache-{n}", "address": address} for n, address in enumerate(addresses)]
         configuration["known"]["endpoints"] = [*caches, origin]
+        settings = configuration["settings"]
+        configuration["settings"] = settings | {"limits": settings["limits"] | {"mayCancel": may_cancel}}
         configuration["limits"] = {"cores": 1.0, "memory_mb": memory_mb, "sockets": DESCRIPTORS}
         yield await stack.enter_async_context(started(configuration, folder, log=""))
 
 
+async def read_sound(address: abusive.Address) -> None:
+    """Read what the origin answers: it would be asked for little if it answered nothing in time."""
+    with await abusive.connect(address) as client:
+        loop = asyncio.get_running_loop()
+        await loop.sock_sendall(client, abusive.encode_read(b"sound" + abusive.new_id()))
+        await loop.sock_recv(client, abusive.ANSWERS_READ)
+
+
 async def leave_after_request(address: abusive.Address) -> None:
-    """Send a whole write, and leave at once."""
+    """Send a whole write, which might be waited for long, and leave at once."""
+    await read_sound(address)
     with await abusive.connect(address) as client:
-        write = abusive.encode_write(abusive.LARGE_VALUE_SIZE, b"pay")
+        write = abusive.encode_write(abusive.LARGE_VALUE_SIZE, b"once", LONG_DEADLINE_MS)
         await asyncio.get_running_loop().sock_sendall(client, write)
         await asyncio.sleep(abusive.RETURN_PAUSE)
 
 
 async def read_from(address: abusive.Address, key: str) -> None:
-    """Read what the scripted servers give for a kind of key, slowly, after a read that the origin answers.
-
-    Without such answers the router would ask little of servers that answer nothing in time.
-    """
-    with await abusive.connect(address) as client:
-        loop = asyncio.get_running_loop()
-        await loop.sock_sendall(client, abusive.encode_read(b"sound" + abusive.new_id()))
-        await loop.sock_recv(client, abusive.ANSWERS_READ)
+    """Read what the scripted servers give for a kind of key, slowly."""
+    await read_sound(address)
     await abusive.read_slowly(address, abusive.encode_read(key.encode() + abusive.new_id()))
 
 
+UNCANCELLED = "leave_after_request_that_goes_on"  # as the settings allow no attempt to be cancelled
 CLIENT_KINDS: dict[str, abusive.Client] = {
     "stop_within_request": abusive.stop_within_request,
     "leave_within_request": abusive.leave_within_request,
     "leave_after_request": leave_after_request,
+    UNCANCELLED: leave_after_request,
     "short_fields": abusive.send_short_fields,
     "read_slowly": partial(read_from, key="long"),
     "unfinished_values": partial(read_from, key="unfinished"),
@@ -155,7 +165,7 @@
     kinds = [kind] if kind in CLIENT_KINDS else list(CLIENT_KINDS)
 
     async def scenario() -> None:
-        async with router_in_front_of_servers(tmp_path, MEMORY_MB) as router:
+        async with router_in_front_of_servers(tmp_path, MEMORY_MB, kind != UNCANCELLED) as router:
             highest.append(highest_memory(router))
             count = CLIENTS // len(kinds)
             await asyncio.gather(
