Reserve memory for answers of which a part has come: 64 KiB on each connection were not counted

Callers would see: a process over its memory limit while servers give the ends of hundreds of answers late.

Cause: a short answer in pieces, and the first 16 KiB of a long one, were gathered without an account on up to 476 connections; the first read of an answer took up to 64 KiB before its length was known, also for each of hundreds of streams whose windows are 7 KiB.

The two tests in test_net_flow_control.py need the account.

Fix: an incomplete answer reserves its length, or waits unread, in order, until an earlier one is complete, passed on or given up; who has a reservation can always finish. While half of that memory is reserved first reads take 4 KiB, otherwise one window.

--- a/myrtlecourse/net/client_memory.py
+++ b/myrtlecourse/net/client_memory.py
@@ -12,11 +12,12 @@
 from myrtlecourse.net.flow_control import DEFAULT_BUDGET, StreamWindows, ValueMemory
 
 # shares of the memory that is available for clients; connections themselves and the allocator take the rest
-VALUE_SHARE = 0.3  # for long values that clients send
-STREAM_SHARE = 0.2  # for long answers that are passed on
-COMMAND_SHARE = 0.15  # for commands in work
-ANSWER_SHARE = 0.15  # for answers that clients have not taken
-INPUT_SHARE = 0.2  # for commands that have not arrived whole, and have no memory reserved
+VALUE_SHARE = 0.25  # for long values that clients send
+STREAM_SHARE = 0.15  # for long answers that are passed on
+INCOMPLETE_SHARE = 0.1  # for answers that have begun to arrive, and are not passed on yet
+COMMAND_SHARE = 0.1  # for commands in work
+ANSWER_SHARE = 0.1  # for answers that clients have not taken
+INPUT_SHARE = 0.15  # for commands that have not arrived whole, and have no memory reserved
 
 MAX_INPUT = 16 * 1024  # bytes that one connection may hold of a command without a reservation
 MIN_INPUT = 4 * 1024  # the same with many connections: as much as the longest command without its value
@@ -51,7 +52,7 @@
     def divide(self, available: int) -> None:
         """Set the bytes that are available for clients; what is held already stays."""
         self.available = available
-        self.windows.set_budget(int(available * STREAM_SHARE))
+        self.windows.set_budget(int(available * STREAM_SHARE), int(available * INCOMPLETE_SHARE))
         self.values.budget = int(available * VALUE_SHARE)
         self.commands.budget = int(available * COMMAND_SHARE)
         self.answers.budget = int(available * ANSWER_SHARE)
--- a/myrtlecourse/net/connection.py
+++ b/myrtlecourse/net/connection.py
@@ -84,6 +84,8 @@
         self.chunks: list[bytes] = []
         self.streaming = False  # whether chunks have been forwarded to the client
         self.progressed = False  # whether data has arrived since the answer timer was last checked
+        self.reserved_bytes = 0  # memory for an answer that has begun to arrive, and is not passed on yet
+        self.awaited_bytes = 0  # the memory that it waits for, unread
         self.paused = False
 
     @abstractmethod
@@ -101,6 +103,10 @@
             MalformedAnswer: the bytes are no valid answer.
         """
 
+    @abstractmethod
+    def incomplete_size(self) -> int:
+        """Return the bytes that a short answer will take once it is complete, as far as is known."""
+
     def decode_end(self) -> Answer | None:
         """Handle that the server has stopped sending; return the answer if that completes it, else None."""
         return None
@@ -207,7 +213,10 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         # The size bounds memory: what has been read of a long answer is kept until its client reads it.
-        return read_buffer[: self.pool.windows.size()] if self.stream_length else read_buffer
+        windows = self.pool.windows
+        if self.stream_length:
+            return read_buffer[: windows.size()]
+        return read_buffer if self.reserved_bytes else read_buffer[: windows.first_read()]
 
     def buffer_updated(self, nbytes: int) -> None:
         self.data_received(bytes(read_buffer[:nbytes]))
@@ -226,6 +235,35 @@
             if self.exchange is not None:
                 self._arm_answer_timer(self.exchange)
 
+    def _reserve_memory(self) -> None:
+        """Reserve memory for the rest of an answer that is not passed on yet; it is not read until then."""
+        size = MIN_STREAM_START if self.stream_length else self.incomplete_size()
+        if self.streaming or self.awaited_bytes or self.reserved_bytes >= size:
+            return
+        self._release_memory()
+        if self.pool.windows.incomplete.reserve(self, size):
+            self.reserved_bytes = size
+            return
+        self.awaited_bytes = size
+        self.pause()
+        rate_limited_log.log(logging.INFO, "an answer of %d bytes waits for memory", size)
+
+    def on_reserved(self) -> None:
+        """Continue to read the answer, for which memory has been reserved."""
+        self.reserved_bytes, self.awaited_bytes = self.awaited_bytes, 0
+        self.resume()
+
+    def _release_memory(self) -> None:
+        """Release the memory of an answer that is complete, passed on or given up. May be called again."""
+        incomplete = self.pool.windows.incomplete
+        if self.awaited_bytes:
+            self.awaited_bytes = 0
+            incomplete.stop_waiting(self)
+            self.resume()
+        if self.reserved_bytes:
+            reserved, self.reserved_bytes = self.reserved_bytes, 0
+            incomplete.release(reserved)
+
     def _forward_chunks(self, exchange: Exchange) -> bool:
         """Forward the received chunks of a long value; return False if it is no longer wanted.
 
@@ -253,6 +291,7 @@
         if exchange.receiver is None:
             raise MalformedAnswer(f"value of {self.stream_length} bytes can't be streamed here")
         self.streaming = exchange.receiver.begin_stream(self.stream_length, exchange)
+        self._release_memory()
         if not self.streaming:
             exchange.abandon()
 
@@ -311,7 +350,9 @@
             return
         if answer is None:
             self._arm_answer_timer(exchange)
+            self._reserve_memory()
         else:
+            self._release_memory()
             if answer[0] in NEEDS_WHOLE_REQUEST and self._is_partly_written():
                 answer = (Status.CONNECT_FAILED, b"")
             self.resume()
@@ -358,6 +399,11 @@
         self.cancel_answer_timer()
         self._cancel_hold_timer()
 
+    def release_answer(self) -> None:
+        """Free what an answer takes, as the connection ends."""
+        self.cancel_timers()
+        self._release_memory()
+
     def cancel_answer_timer(self) -> None:
         if self.answer_timer is not None:
             self.answer_timer.cancel()
--- a/myrtlecourse/net/flow_control.py
+++ b/myrtlecourse/net/flow_control.py
@@ -14,6 +14,8 @@
 MAX_WINDOW = 64 * 1024  # bytes of one stream in each of its two buffers; as much as is read at once
 MIN_WINDOW = 4 * 1024
 GATHERED_SHARE = 1 / 2  # share of the budget for answers that gathered ones may use
+SCARCE_SHARE = 1 / 2  # of the memory for incomplete answers, from which on it is scarce
+SCARCE_FIRST_READ = 4 * 1024  # bytes that are read then of an answer of which nothing has come yet
 
 
 class StreamWindows:
@@ -23,12 +25,20 @@
         """Create windows that share `budget` bytes."""
         self.streams = 0
         self.gathered = ValueMemory()  # for answers that are gathered before any of them is sent
-        self.set_budget(budget)
+        self.incomplete = ValueMemory()  # for answers that have begun to arrive, and are not passed on yet
+        self.set_budget(budget, budget)
 
-    def set_budget(self, budget: int) -> None:
-        """Set the bytes that all streamed answers may take together."""
+    def set_budget(self, budget: int, incomplete: int) -> None:
+        """Set the bytes that all streamed answers may take together, and all incomplete ones."""
         self.budget = budget
         self.gathered.budget = int(budget * GATHERED_SHARE)
+        self.incomplete.budget = incomplete
+
+    def first_read(self) -> int:
+        """Return the bytes that may be read at once of an answer of which nothing has come."""
+        if self.incomplete.reserved > SCARCE_SHARE * self.incomplete.budget:
+            return SCARCE_FIRST_READ
+        return self.size()  # it may turn out to be a long answer
 
     def size(self) -> int:
         """Return the bytes that one stream may read ahead; its client's write buffer may hold as many."""
--- a/myrtlecourse/net/http.py
+++ b/myrtlecourse/net/http.py
@@ -220,6 +220,12 @@
         except h11.RemoteProtocolError as e:
             raise HttpError(str(e)) from e
 
+    def incomplete_size(self) -> int:
+        """Return the bytes that the response will take, as far as is known: a body may have no length."""
+        if self.plain_response is not None:
+            return len(self.body) + self.body_remaining
+        return MAX_HEAD if self.head is None else self.max_body
+
     def has_trailing_bytes(self) -> bool:
         """Return whether bytes followed the response."""
         return (
--- a/myrtlecourse/net/origin.py
+++ b/myrtlecourse/net/origin.py
@@ -63,5 +63,8 @@
         )
         return (Status.FULL if not_started else Status.ERROR), b""
 
+    def incomplete_size(self) -> int:
+        return self.http_client.incomplete_size()
+
     def reusable(self) -> bool:
         return self.http_client.reusable()
--- a/myrtlecourse/net/pool.py
+++ b/myrtlecourse/net/pool.py
@@ -296,7 +296,7 @@
 
     def remove(self, connection: Connection) -> None:
         """Remove a closed connection."""
-        connection.cancel_timers()
+        connection.release_answer()
         self.connections.discard(connection)
         self._remove_idle(connection)
 
--- a/myrtlecourse/net/servers.py
+++ b/myrtlecourse/net/servers.py
@@ -106,5 +106,8 @@
             return None
         raise MalformedAnswer(f"not a valid answer: {repr(message)[:80]}")
 
+    def incomplete_size(self) -> int:
+        return max(self.reader.announced_size, len(self.reader.buffer))
+
     def reusable(self) -> bool:
         return not self.reader.buffer
--- a/tests/test_net_flow_control.py
+++ b/tests/test_net_flow_control.py
@@ -10,7 +10,7 @@
 
 from myrtlecourse.net import clients
 from myrtlecourse.net.flow_control import MAX_WINDOW, MIN_WINDOW, StreamWindows, ValueMemory
-from tests.loopback import Router, book, command, http, needs_sources, run
+from tests.loopback import Router, book, command, http, needs_sources, run, until
 
 
 @given(st.integers(1 << 20, 1 << 26), st.integers(0, 5000))
@@ -141,3 +141,48 @@
             assert await one.resp() == b"PONG"
 
     run(scenario)
+
+
+# Guards against answers of which a part has come taking memory that no account knows (incident 78).
+def test_incomplete_answers_share_their_memory_and_all_arrive() -> None:
+    async def scenario() -> None:
+        async with Router() as router:
+            memory = router.origins.windows.incomplete
+            memory.budget = 70_000
+            answer = http("200 OK", b"x" * 60_000)
+            one, other = await router.client(), await router.client()
+            one.write(book("r1", key="one"))
+            first = await router.origin.link()
+            await first.http()
+            first.write(answer[:30_000])
+            await until(lambda: memory.reserved == 60_000)
+            other.write(book("r2", key="other"))
+            second = await router.origin.link()
+            await second.http()
+            second.write(answer[:-1])
+            await until(lambda: bool(memory.waiting))
+            assert memory.reserved == 60_000
+            first.write(answer[30_000:])
+            assert await one.resp() == b"x" * 60_000
+            second.write(answer[-1:])
+            assert await other.resp() == b"x" * 60_000
+            assert memory.reserved == 0 and not memory.waiting
+
+    run(scenario)
+
+
+def test_an_answer_that_waits_for_memory_ends_with_its_request() -> None:
+    async def scenario() -> None:
+        async with Router() as router:
+            memory = router.origins.windows.incomplete
+            memory.reserve(Client(), memory.budget)
+            client = await router.client()
+            client.write(command("C.SET", "k", "r1", "c=book,t=x,d=300,k=5c0f", b"slot"))
+            origin = await router.origin.link()
+            await origin.http()
+            origin.write(http("200 OK", b"x" * 60_000)[:-1])
+            await until(lambda: bool(memory.waiting))
+            assert str(await client.resp()) == "BUSY"
+            assert not memory.waiting and memory.reserved == memory.budget
+
+    run(scenario)
