Draw clients that make routers hold memory in the soak, and count memory over the limit as a fault

A crowd may have clients that stop within a large request, leave within one, send very many names and values, or read answers slowly, and come again. Scenarios give routers their memory; the peak that the kernel keeps of each process (VmHWM) is compared with it at the end.

Draws of other faults stay the same for each seed.

--- a/myrtlecourse/fleet/abusive_clients.py
+++ b/myrtlecourse/fleet/abusive_clients.py
@@ -118,6 +118,11 @@
             await asyncio.sleep(SLOW_READ_PAUSE)
 
 
+async def read_key_slowly(address: Address) -> None:
+    """Read any key, and take the answer slowly."""
+    await read_slowly(address, encode_read(b"slowly-" + new_id()))
+
+
 async def flood(address: Address) -> None:
     """Send commands at full speed and read the answers, until cancelled."""
     reader, writer = await asyncio.open_connection(*address)
--- a/myrtlecourse/fleet/faults.py
+++ b/myrtlecourse/fleet/faults.py
@@ -143,8 +143,12 @@
         "crowd_leaving": fault.leaving,
         "crowd_writing": fault.writing,
         "crowd_flooding": fault.flooding,
+        "crowd_stopping": fault.stopping,
+        "crowd_interrupting": fault.interrupting,
+        "crowd_fields": fault.fields,
+        "crowd_reading": fault.reading,
     }
-    return [Step(fault.at, action, target, float(n), fault.seconds) for action, n in counts.items()]
+    return [Step(fault.at, action, target, float(n), fault.seconds) for action, n in counts.items() if n]
 
 
 def _target_servers(scenario: scenarios.Scenario, fault: scenarios.Silence | scenarios.Crash) -> list[str]:
--- a/myrtlecourse/fleet/loopback_fleet.py
+++ b/myrtlecourse/fleet/loopback_fleet.py
@@ -135,7 +135,7 @@
             "listen": "127.0.0.1:0",
             "discovery": f"127.0.0.1:{self.discovery.ports[name].number}",
             "seed": f"{self.scenario.seed}{number}",
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "limits": {"cores": 1.0, "memory_mb": self.scenario.memory_mb, "sockets": 1024},
             "known": msgspec.json.decode(known),
             "settings": self.layout.settings(number),
         } | self._peer_configuration(name)
--- a/myrtlecourse/fleet/routers.py
+++ b/myrtlecourse/fleet/routers.py
@@ -18,7 +18,7 @@
 from typing import Any
 
 from myrtlecourse.audit import observations as seen
-from myrtlecourse.fleet.abusive_clients import flood, run_clients, write_half
+from myrtlecourse.fleet import abusive_clients as abusive
 from myrtlecourse.fleet.faults import Step
 
 # The same as `run` in the deploy file. SIGHUP is ignored at first, so that a new configuration during a
@@ -35,7 +35,17 @@
 LISTENING = b"listening on "
 TAKES_CALLS = b"operators call "
 CALL_TIME = 1.0  # seconds in which a call must be answered
-ABUSIVE_CLIENTS = {"crowd_writing": write_half, "crowd_flooding": flood}  # by the action of a step
+MEMORY_INTERVAL = 0.2  # seconds between looks at the memory of a process
+MEGABYTE = 1024 * 1024  # bytes
+# by the action of a step: a kind of client, and whether it comes again
+ABUSIVE_CLIENTS: dict[str, tuple[abusive.Client, bool]] = {
+    "crowd_writing": (abusive.write_half, False),
+    "crowd_flooding": (abusive.flood, False),
+    "crowd_stopping": (abusive.stop_within_request, True),
+    "crowd_interrupting": (abusive.leave_within_request, True),
+    "crowd_fields": (abusive.send_short_fields, True),
+    "crowd_reading": (abusive.read_key_slowly, True),
+}
 SIGNAL_PAUSE = 0.02  # seconds between two signals of a series
 READY_TIME = 6.0  # seconds in which the new process of an upgrade must be ready
 RETURN_LINE = re.compile(r"^(\S+ \S+) INFO zones coming back: (.*)$", re.MULTILINE)
@@ -64,6 +74,8 @@
         self.should_run = False  # False before the start and once the process was asked to end
         self.end_time = LONGEST_DEADLINE + KILL_GRACE  # seconds from SIGTERM to SIGKILL
         self.crashes = 0
+        self.memory_limit = 0  # bytes of a process; 0 before it is configured
+        self.highest_memory = 0  # bytes that a process has had
         self.temporary_folder = folder / f"{name}.tmp"  # shared by this router's processes
         # The socket that this router's processes inherit if the scenario upgrades routers.
         self.listening_socket: socket.socket | None = None
@@ -75,6 +87,7 @@
     def configure(self, configuration: dict[str, Any]) -> None:
         """Write the configuration file as the platform does, with the address of earlier starts."""
         listen = f"{self.address[0]}:{self.address[1]}"
+        self.memory_limit = configuration["limits"]["memory_mb"] * MEGABYTE
         longest = max(request_class["giveUp"] for request_class in configuration["settings"]["classes"])
         self.end_time = min(LONGEST_DEADLINE, longest) + KILL_GRACE
         self.config.write_text(json.dumps(configuration | {"listen": listen}))
@@ -123,6 +136,7 @@
             host, _, port = text.split(TAKES_CALLS)[1].split()[0].decode().rpartition(":")
             self.ops = host, int(port)
         self.watch = asyncio.create_task(self._watch(self.process))
+        self.memory_watch = asyncio.create_task(self._watch_memory(self.process))
 
     def pids(self) -> list[int]:
         """Return the ids of the running processes: two during an upgrade."""
@@ -170,6 +184,12 @@
             self.crashes += 1
             self.observe(seen.RouterDown(time.monotonic(), self.name, False))
 
+    async def _watch_memory(self, process: asyncio.subprocess.Process) -> None:
+        """Record the most memory that the process has had, which the kernel keeps, until it ends."""
+        while process.returncode is None:
+            self.highest_memory = max(self.highest_memory, highest_memory(process.pid))
+            await asyncio.sleep(MEMORY_INTERVAL)
+
     def stall(self, stopped: bool) -> None:
         """Stop the process (SIGSTOP), or resume it."""
         if self.process is not None:
@@ -248,6 +268,16 @@
         self.observe(seen.RouterExited(now, self.name) if kill else seen.RouterDown(now, self.name, False))
 
 
+def highest_memory(process: int) -> int:
+    """Return the most resident memory in bytes that a process has had; 0 if it has ended."""
+    try:
+        status = Path(f"/proc/{process}/status").read_text()
+    except OSError:
+        return 0
+    _, found, rest = status.partition("VmHWM:")
+    return int(rest.split()[0]) * 1024 if found else 0
+
+
 def zone_returns(log: Path) -> list[tuple[float, dict[str, float]]]:
     """Return the logged shares of returning zones, with times on the machine's monotonic clock."""
     offset = time.time() - time.monotonic()
@@ -310,10 +340,9 @@
             self.run_in_background(router.open_leaving_clients(round(step.value), step.duration))
             return
         if step.action in ABUSIVE_CLIENTS:
-            client = ABUSIVE_CLIENTS[step.action]
-            self.run_in_background(
-                run_clients(client, router.address, round(step.value), step.duration, again=False)
-            )
+            client, again = ABUSIVE_CLIENTS[step.action]
+            count, seconds = round(step.value), step.duration
+            self.run_in_background(abusive.run_clients(client, router.address, count, seconds, again))
             return
         if step.action in ("crowd", "crowd_begun"):
             self.run_in_background(
@@ -362,4 +391,9 @@
             for r in self.members
             if r.crashes
         ]
-        return self.faults + crashed
+        over = [
+            f"{r.name} had {r.highest_memory / MEGABYTE:.1f} MB of {r.memory_limit / MEGABYTE:.0f}"
+            for r in self.members
+            if r.highest_memory > r.memory_limit
+        ]
+        return self.faults + crashed + over
--- a/myrtlecourse/fleet/scenario.py
+++ b/myrtlecourse/fleet/scenario.py
@@ -263,7 +263,8 @@
     """Clients connect to a router all at once, send nothing or half a command, and stay for a while.
 
     Beside them, others send commands of an unknown class, leave at once and come again, write a long command
-    slowly and stop half way, or send commands at full speed.
+    slowly and stop half way, or send commands at full speed. Again others come back all the time: they stop
+    within a large request and wait, or leave there, send a head of very many fields, or read answers slowly.
     """
 
     at: Time
@@ -274,6 +275,10 @@
     leaving: Annotated[int, Meta(ge=0, le=100)] = 0  # clients that send unusable commands and leave
     writing: Annotated[int, Meta(ge=0, le=1000)] = 0  # clients that write half of a long command slowly
     flooding: Annotated[int, Meta(ge=0, le=10)] = 0  # clients that send commands at full speed
+    stopping: Annotated[int, Meta(ge=0, le=1000)] = 0  # clients that stop within a large request
+    interrupting: Annotated[int, Meta(ge=0, le=1000)] = 0  # clients that leave within a large request
+    fields: Annotated[int, Meta(ge=0, le=100)] = 0  # clients that send very many names and values
+    reading: Annotated[int, Meta(ge=0, le=1000)] = 0  # clients that read answers slowly
 
 
 class Split(Struct, forbid_unknown_fields=True, frozen=True, tag="split", tag_field="what"):
@@ -343,6 +348,7 @@
     seconds: Positive = 30.0
     seed: Annotated[int, Meta(ge=0)] = 1
     routers: Annotated[int, Meta(ge=1, le=1000)] = 1
+    memory_mb: Annotated[int, Meta(ge=1, le=4096)] = 192  # of each router; more is a fault
     zones: Annotated[tuple[Name, ...], Meta(min_length=1, max_length=16)] = ("a",)
     delay: Time = 0.0  # one-way delay between two zones
     cell: Count = 4  # servers that share the receipts of keyed writes
--- a/myrtlecourse/soak/cases.py
+++ b/myrtlecourse/soak/cases.py
@@ -18,11 +18,13 @@
 ANSWER_SLACK = 0.5  # seconds by which an answer may exceed its deadline before it counts as late
 MARGIN = 1.5  # seconds before the first fault, and after the end of the last one
 MAX_DRAWN_FAULTS = 8  # besides those below, each of which a share of the cases has
-MAX_FAULTS = MAX_DRAWN_FAULTS + 4
+MAX_FAULTS = MAX_DRAWN_FAULTS + 5
 SECOND_ANSWERS_SHARE = 0.4  # servers send second answers
 LEAVING_CLIENTS_SHARE = 0.4  # clients send unusable commands and leave while others fill a router
 DEDUP_GROUPS: tuple[Literal["all", "zone", "cell"], ...] = ("all", "zone", "cell")
 ABUSIVE_CLIENTS_SHARE = 0.4  # clients write long commands slowly, or send commands at full speed
+LARGE_REQUESTS_SHARE = 0.5  # clients make a router hold parts of large requests and answers
+MEMORY_SIZES = (64, 64, 192)  # megabytes of a router
 STOPS_SHARE = 0.4  # a router is stopped again and again
 SERVER_COUNTS = (4, 12, 40, 120)  # numbers of cache servers
 
@@ -50,7 +52,9 @@
         scenario = self.scenario
         fault_names = ", ".join(str(f.__struct_config__.tag) for f in scenario.faults)
         steps = f", clock {'/'.join(f'{s:+g}' for _, s in self.system.steps)}" if self.system.steps else ""
-        size = f"{scenario.routers} routers, {len(scenario.cache_servers())} servers"
+        size = (
+            f"{scenario.routers} routers of {scenario.memory_mb} MB, {len(scenario.cache_servers())} servers"
+        )
         return f"{size}: {fault_names}; {self.system.per_million}/million calls fail{steps}"
 
 
@@ -71,12 +75,19 @@
         self.deadline = rng.choice([0.4, 0.8, 1.5, 2.5])
         self.window = rng.choice([1.5, 4.0, 15.0])
         self.drain = rng.uniform(2.6, 4.0)
-        added = [*self._second_answers(), *self._leaving_clients(), *self._abusive_clients(), *self._stops()]
+        added = [
+            *self._second_answers(),
+            *self._leaving_clients(),
+            *self._abusive_clients(),
+            *self._large_requests(),
+            *self._stops(),
+        ]
         faults = sorted([*self._faults(), *added], key=lambda f: f.at)
         scenario = fleet.Scenario(
             seconds=self.seconds,
             seed=self.seed,
             routers=self.routers,
+            memory_mb=random.Random(f"{self.seed} memory").choice(MEMORY_SIZES),
             zones=self.zones,
             delay=rng.choice([0.0, 0.003]),
             kinds=(self._server_kind(),),
@@ -210,6 +221,26 @@
         router, writing, flooding = rng.randrange(self.routers), rng.choice([50, 300]), rng.randint(0, 2)
         return [fleet.Crowd(at, seconds, router, clients=1, writing=writing, flooding=flooding)]
 
+    def _large_requests(self) -> list[fleet.Fault]:
+        """Draw a crowd with clients that make a router hold memory, from numbers of its own."""
+        rng = random.Random(f"{self.seed} large requests")
+        if rng.random() >= LARGE_REQUESTS_SHARE:
+            return []
+        seconds = rng.uniform(2.0, min(4.0, self.seconds / 2))
+        at = rng.uniform(MARGIN, max(MARGIN, self.seconds - MARGIN - seconds))
+        return [
+            fleet.Crowd(
+                at,
+                seconds,
+                rng.randrange(self.routers),
+                clients=1,
+                stopping=rng.choice([0, 100, 500]),
+                interrupting=rng.choice([0, 100, 500]),
+                fields=rng.choice([0, 5]),
+                reading=rng.choice([0, 200]),
+            )
+        ]
+
     def _stops(self) -> list[fleet.Fault]:
         """Draw a router that is held up again and again, for about the time limit of its dials."""
         rng = random.Random(f"{self.seed} stops")
--- a/tests/test_memory_limit.py
+++ b/tests/test_memory_limit.py
@@ -17,6 +17,7 @@
 import pytest
 
 from myrtlecourse.fleet import abusive_clients as abusive
+from myrtlecourse.fleet.routers import highest_memory
 from myrtlecourse.net.http import MAX_HEAD
 from tests.loopback import Link, command, format_address, run
 from tests.router_process import DESCRIPTORS, RouterProcess, Servers, started
@@ -146,12 +147,6 @@
 }
 
 
-def highest_memory(router: RouterProcess) -> int:
-    """Return the most resident memory that a router's process has had, pages of files included."""
-    status = Path(f"/proc/{router.process.pid}/status").read_text()
-    return int(status.split("VmHWM:")[1].split()[0]) * 1024
-
-
 @pytest.fixture(autouse=True)
 def many_descriptors() -> None:
     soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
@@ -167,7 +162,7 @@
 
     async def scenario() -> None:
         async with router_in_front_of_servers(tmp_path, MEMORY_MB, kind != UNCANCELLED) as router:
-            highest.append(highest_memory(router))
+            highest.append(highest_memory(router.process.pid))
             count = CLIENTS // len(kinds)
             await asyncio.gather(
                 *(
@@ -179,7 +174,7 @@
             client.write(command("PING"))
             assert await client.resp() == b"PONG"
             client.close()
-            highest.append(highest_memory(router))
+            highest.append(highest_memory(router.process.pid))
 
     run(scenario, timeout=60.0)
     gc.collect()  # connections that were cut off end here, not while a failure is being reported
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -82,6 +82,8 @@
     assert sum(isinstance(f, fleet.Crowd) and f.writing > 0 for f in faults) > 20
     assert sum(isinstance(f, fleet.Crowd) and f.flooding > 0 for f in faults) > 20
     assert sum(isinstance(f, fleet.Stall) and f.times > 1 for f in faults) > 20
+    for kind in ("stopping", "interrupting", "fields", "reading"):
+        assert sum(isinstance(f, fleet.Crowd) and getattr(f, kind) > 0 for f in faults) > 20
 
 
 # Guards against days whose clients repeat a write in a group of servers that does not know its key.
