--- a/bench/client_memory.py
+++ b/bench/client_memory.py
@@ -24,7 +24,8 @@
 from uvloop import new_event_loop
 
 from bench import rig
-from myrtlecourse.fleet.abusive_clients import LONG_COMMAND, Address, flood, run_clients, write_half
+from myrtlecourse.fleet import abusive_clients as abusive
+from myrtlecourse.fleet.abusive_clients import LONG_COMMAND, Address, run_clients
 from myrtlecourse.net.resp import encode_command
 
 SECONDS = 6.0  # for which clients press the router
@@ -70,10 +71,13 @@
 
 KINDS: dict[str, Callable[[Address], Coroutine[Any, Any, None]]] = {
     "silent": stay_silent,
-    "half a command, slowly": write_half,
+    "half a command, slowly": abusive.write_half,
+    "stop within a request": abusive.stop_within_request,
+    "leave within a request": abusive.leave_within_request,
+    "very many fields": abusive.send_short_fields,
     "all but the end": stop_before_the_end,
     "answers unread": read_nothing,
-    "flood": flood,
+    "flood": abusive.flood,
 }
 
 
@@ -120,7 +124,8 @@
     watching = asyncio.create_task(watch(process, highest))
     count = 1 if kind == "flood" else number
     await asyncio.gather(
-        run_clients(KINDS[kind], address, count, SECONDS, again=False), ask_evenly(address, outcomes)
+        run_clients(KINDS[kind], address, count, SECONDS, again=kind != "flood"),
+        ask_evenly(address, outcomes),
     )
     await asyncio.sleep(SETTLING_TIME)
     watching.cancel()
