--- a/myrtlecourse/net/connection.py
+++ b/myrtlecourse/net/connection.py
@@ -259,7 +259,6 @@
         if self.awaited_bytes:
             self.awaited_bytes = 0
             incomplete.stop_waiting(self)
-            self.resume()
         if self.reserved_bytes:
             reserved, self.reserved_bytes = self.reserved_bytes, 0
             incomplete.release(reserved)
@@ -290,6 +289,9 @@
         self.cancel_answer_timer()  # a limit of another length holds from now on
         if exchange.receiver is None:
             raise MalformedAnswer(f"value of {self.stream_length} bytes can't be streamed here")
+        if self.awaited_bytes:  # the deadline has come before the memory
+            self._release_memory()
+            self.resume()
         self.streaming = exchange.receiver.begin_stream(self.stream_length, exchange)
         self._release_memory()
         if not self.streaming:
--- a/tests/test_net_flow_control.py
+++ b/tests/test_net_flow_control.py
@@ -182,7 +182,9 @@
             await origin.http()
             origin.write(http("200 OK", b"x" * 60_000)[:-1])
             await until(lambda: bool(memory.waiting))
+            connection = next(iter(router.origins.connections))
             assert str(await client.resp()) == "BUSY"
             assert not memory.waiting and memory.reserved == memory.budget
+            assert connection.answer_timer is None  # it would tell of an attempt that has ended
 
     run(scenario)
