--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,11 +1,9 @@
-"""A voter of duties is upgraded while two others can't hear one another: do two routers hold a duty at once,
-and is a step begun twice?"""
+"""A router is upgraded while discovery is away: does its new process keep a drain that it was told?"""
 
 from __future__ import annotations
 
 import asyncio
-import json
-import math
+import random
 import signal
 import sys
 from pathlib import Path
@@ -17,184 +15,129 @@
     CannotRun,
     Case,
     Discovery,
-    Network,
+    Origin,
     Router,
+    command,
     free_port,
     hit,
     main,
+    read_message,
     settings,
 )
 
-NAMES = ("a", "b", "c")
-COMMAND = Path(__file__).resolve().parents[1] / "common-2" / "holder_command.py"
-SPLIT = 5.9  # seconds; STANDING: "for 6 s a zone is partitioned"
-# seconds from the start of the new process until the platform asks whether it is ready; DAYS: "within 6 s"
-ASKED_AFTER = 4.2
-LEAST_OVERLAP = 0.3  # seconds: a command's process may start so much later than it was ordered
-ROUNDS = 5
-FILE = """
-[duties]
-name = "{name}"
-peers = [{peers}]
-voters = ["a", "b", "c"]
-key_file = "{folder}/key"
-memory_file = "{folder}/memory-{name}"
-listen = "{listen}"
-heartbeat = 0.2
-lease = 3.0
-settle = 0.5
-"""
-DUTY = """
-[[duties.duty]]
-name = "{duty}"
-preferred = ["c", "a", "b"]
-command = ["{python}", "-S", "-E", "{command}", "{folder}/commands", "{duty}@{name}"]
-"""
-STEPS = "every = 1.0\ngood_for = 0.5\n"
-HELD = [f"announce-{i}" for i in range(8)]  # `take` and `leave`
-STEPPED = [f"purge-{i}" for i in range(4)]  # a step each second; docs/duties.md: 16 duties at most
-
-
-def holdings(text: str, began: float) -> dict[str, list[tuple[str, int, float, float]]]:
-    """Return from the commands' file who held each duty: router, token, seconds of `take` and of `leave`."""
-    taken: dict[tuple[str, str, int], list[float]] = {}
-    for line in text.splitlines():
-        at, who, word, *_, token = line.split()
-        if word == "step":
-            continue
-        duty, _, router = who.partition("@")
-        times = taken.setdefault((duty, router, int(token)), [math.nan, math.inf])
-        times[word == "leave"] = float(at) - began
-    result: dict[str, list[tuple[str, int, float, float]]] = {}
-    for (duty, router, token), (start, end) in taken.items():
-        if not math.isnan(start):
-            result.setdefault(duty, []).append((router, token, start, end))
-    return result
-
-
-def overlaps(text: str, began: float, now: float) -> list[str]:
-    """Return the duties that two routers held at once for longer than `LEAST_OVERLAP`."""
-    found = []
-    for duty, rows in holdings(text, began).items():
-        rows.sort(key=lambda row: row[2])
-        for i, (one, token, _, left) in enumerate(rows):
-            for two, later_token, start, end in rows[i + 1 :]:
-                if (seconds := min(left, end, now) - start) > LEAST_OVERLAP:
-                    who = f"{one} (token {token}) and {two} (token {later_token})"
-                    found.append(f"{duty}: {who} for {seconds:.2f} s from {start:.2f} s")
-    return found
-
-
-def repeats(text: str) -> list[str]:
-    """Return the steps that were begun more than once."""
-    begun: dict[tuple[str, str], list[str]] = {}
-    for line in text.splitlines():
-        _, who, word, *rest = line.split()
-        if word == "step":
-            duty, _, router = who.partition("@")
-            begun.setdefault((duty, rest[0]), []).append(f"{router} (token {rest[1]})")
-    return [f"{duty}: step {n} at {' and '.join(by)}" for (duty, n), by in begun.items() if len(by) > 1]
-
-
-async def acting(router: Router) -> set[str]:
-    """Return the duties in which a router says that it acts."""
-    try:
-        status, text = await router.call("GET", "duties")
-        return {row["duty"] for row in json.loads(text)["duties"] if row["acts"]} if status == 200 else set()
-    except (OSError, TimeoutError, ValueError):
-        return set()
-
-
-async def watch(case: Case, a: Router, c: Router) -> None:
-    """Record what a and c say of themselves, whenever it changes."""
-    before = ""
-    while True:
-        at_a, at_c = await asyncio.gather(acting(a), acting(c))
-        text = f"a acts in {len(at_a)} duties, c in {len(at_c)}"
-        text += f", both in {', '.join(sorted(at_a & at_c))}" if at_a & at_c else ""
-        if text != before:
-            case.record(f"GET /control/duties: {text}")
-            before = text
-        await asyncio.sleep(0.1)
+GRACE = 2.0 + 0.05  # seconds: rules.stopSendingWithin, and the 50 ms that sockets add (PROTOCOL)
+OUTAGE = 8.0  # seconds; STANDING: "discovery is down for 8 s"
+READY_TIME = 6.0  # seconds; DAYS: "when the new process says yes, within 6 s"
+CLIENTS = 8
+DRAINED = "s-2"
 
 
-async def make_routers(case: Case, network: Network) -> dict[str, Router]:
-    """Make the three routers, without starting them."""
-    discovery = Discovery()
-    cache = CacheServer("cache-1", case.record, lambda *_: (0.0, hit()))
-    await cache.start()
-    discovery.add("s-1", cache.address)
-    await discovery.start()
-    for name in NAMES:
-        await network.add(name)
-    (case.folder / "key").write_bytes(b"one key of this case")
-    peers = ", ".join(f'{{name = "{n}", at = "{network.at[n][0]}:{network.at[n][1]}"}}' for n in NAMES)
-    routers = {}
-    for name in NAMES:
-        listen = f"{network.own[name][0]}:{network.own[name][1]}"
-        words = {"name": name, "folder": case.folder, "python": sys.executable, "command": COMMAND}
-        file = FILE.format(peers=peers, listen=listen, **words)
-        for duty in (*HELD, *STEPPED):
-            file += DUTY.format(duty=duty, **words) + (STEPS if duty in STEPPED else "")
-        configuration = {"discovery": discovery.address, "known": discovery.list(), "settings": settings()}
-        routers[name] = case.router(name, configuration | {"ops": f"127.0.0.1:{free_port()}"}, file)
-        routers[name].hold_socket()
-    return routers
-
-
-async def upgrade(b: Router) -> None:
-    """Upgrade a router as the platform does: SIGTERM to the old process when the new one says yes."""
-    old = b.process
-    b.configuration["ops"] = f"127.0.0.1:{free_port()}"  # the same addresses but a new second address
-    b.write()
-    await b.start()
-    await asyncio.sleep(ASKED_AFTER)
-    if not await b.says_ready():
-        raise CannotRun("the new process was not ready")
-    b.record("the new process of b says yes to GET /control/ready")
-    b.send_signal(signal.SIGTERM, old)
+async def client(case: Case, router: Router, number: int) -> None:
+    """A client that asks for a value every 0.1 s, on a connection that it keeps as long as it stands."""
+    while True:
+        try:
+            reader, writer = await asyncio.open_connection(*router.address)
+            while True:
+                key, request = f"pupil-{random.randrange(200)}", f"{random.getrandbits(64):016x}"
+                writer.write(command("C.GET", key, request, "c=timetable-read,t=shannonside,d=2000"))
+                answer = await read_message(reader)
+                text = answer if isinstance(answer, str) else "a value"
+                case.record(f"client {number} asked for {key} id={request}, gets {text}")
+                await asyncio.sleep(0.1)
+        except (OSError, asyncio.IncompleteReadError):
+            await asyncio.sleep(0.02)
+
+
+class Servers:
+    """Discovery, four cache servers and the origin; one of the cache servers drains at some time."""
+
+    def __init__(self, case: Case) -> None:
+        self.case = case
+        self.discovery = Discovery()
+        self.draining = False
+        self.sent_to_drained: list[float] = []  # when a command came to the server that drains
+
+    def answer(self, name: str) -> tuple[float, bytes]:
+        if name == DRAINED and self.draining:
+            self.sent_to_drained.append(self.case.record.now())
+            return 0.02, b"-BUSY\r\n"
+        return 0.02, hit()
+
+    async def start(self) -> None:
+        for number in range(4):
+            name = f"s-{number}"
+            cache = CacheServer(name, self.case.record, lambda *_, name=name: self.answer(name))
+            await cache.start()
+            self.discovery.add(name, cache.address)
+        origin = Origin(self.case.record, lambda *_: (0.1, b"value"))
+        await origin.start()
+        self.discovery.add("o-1", origin.address, kind="origin")
+        await self.discovery.start()
+
+    async def drain(self) -> float:
+        """Let the server drain; return when discovery has told the router."""
+        self.draining = True
+        self.discovery.change(DRAINED, "terminating")
+        self.case.record(f"discovery lists {DRAINED} as terminating")
+        await asyncio.wait_for(self.discovery.told.wait(), 5.0)
+        return self.case.record(f"discovery has told the router that {DRAINED} drains")
+
+
+async def upgrade(router: Router) -> tuple[float, float]:
+    """Upgrade the router as the platform does; return when that began, and when the new process said yes."""
+    record, old = router.record, router.process
+    router.configuration["ops"] = f"127.0.0.1:{free_port()}"  # the same addresses but a new second address
+    router.write()
+    began = record.now()
+    await router.start()
+    while True:
+        await asyncio.sleep(0.1)
+        if await router.says_ready():
+            break
+        if record.now() - began > READY_TIME:
+            raise CannotRun("the new process was not ready in time")
+    yes = record("the new process says yes")
+    router.send_signal(signal.SIGTERM, old)
+    return began, yes
 
 
 async def play(case: Case) -> str:
-    case.without_compiler()
-    network = Network(case.record)
-    routers = await make_routers(case, network)
-    a, b, c = (routers[n] for n in NAMES)
-    await a.start()
-    await b.start()
-    # b may win some of the duties
-    await a.until_log("held here under token", (len(HELD) + len(STEPPED)) // 2, 20.0)
-    await asyncio.sleep(1.0)
-    await c.start()  # the most preferred, but preference counts for a vacancy alone
-    await c.until_log("operators call")
-    await asyncio.sleep(4.0)
-    watching = asyncio.create_task(watch(case, a, c))
-    commands = case.folder / "commands"
-    found: list[str] = []
-    twice: list[str] = []
-    for number in range(ROUNDS):
-        case.record(f"round {number + 1}")
-        network.split("a", "c")
-        healing = asyncio.get_running_loop().call_later(SPLIT, network.heal)
-        await asyncio.sleep(0.1)
-        await (upgrade(b) if TROUBLE else asyncio.sleep(ASKED_AFTER))
-        await asyncio.sleep(SPLIT - ASKED_AFTER + 4.0)
-        healing.cancel()
-        network.heal()
-        for router in routers.values():
-            if router.process is None or router.process.returncode is not None:
-                raise CannotRun(f"{router.name} has ended")
-        text = commands.read_text()
-        twice, found = repeats(text), overlaps(text, case.record.began, case.record.now())
-        if twice and found:
-            break
-    watching.cancel()
-    for line in commands.read_text().splitlines():
-        at, _, rest = line.partition(" ")
-        case.record.file.write(f"{float(at) - case.record.began:9.3f} command ran: {rest}\n")
-    broken = [f"two held a duty at once: {'; '.join(found)}"] if found else []
-    broken += [f"steps begun twice: {'; '.join(twice)}"] if twice else []
-    return ". ".join(broken)
+    record, servers = case.record, Servers(case)
+    await servers.start()
+    discovery = servers.discovery
+    known = {**discovery.list(), "endpoints": [dict(entry) for entry in discovery.entries]}
+    configuration = {"discovery": discovery.address, "known": known, "settings": settings()}
+    router = case.router("n1", configuration | {"ops": f"127.0.0.1:{free_port()}"})
+    router.hold_socket()
+    await router.start()
+    await router.until_log("operators call")
+    await router.until_pong()
+    clients = [asyncio.create_task(client(case, router, number)) for number in range(CLIENTS)]
+    await asyncio.sleep(2.0)
+    told = await servers.drain()
+    await asyncio.sleep(3.0)
+    if TROUBLE:
+        record("discovery is down from now on")
+        discovery.set_down(True)
+        asyncio.get_running_loop().call_later(OUTAGE, discovery.set_down, False)
+    await asyncio.sleep(0.3)
+    began, yes = await upgrade(router)
+    await asyncio.sleep(OUTAGE - 0.6 - (record.now() - began))
+    for task in clients:
+        task.cancel()
+    await asyncio.gather(*clients, return_exceptions=True)
+    sent = servers.sent_to_drained
+    if any(told + GRACE < at < began for at in sent):
+        raise CannotRun("the old process sent too late as well")
+    # what discovery told the router binds the new process 2 s after its yes (DAYS)
+    late = [at for at in sent if at > max(told, yes) + GRACE]
+    record(f"{DRAINED} got {len(sent)} commands since it drains, {len(late)} of them later than is allowed")
+    if not late:
+        return ""
+    return (
+        f"{DRAINED} got {len(late)} new commands too late, the last {late[-1] - told:.1f} s after the router "
+        f"was told that it drains and {late[-1] - yes:.1f} s after the yes of the new process"
+    )
 
 
 if __name__ == "__main__":
