--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,16 +7,19 @@
 target=build/review-2/packages
 python=.venv/bin/python
 test -x "$python" || { echo "run the build of the deploy file first" >&2; exit 2; }
-if ! PYTHONPATH="$target" "$python" -c 'import msgspec' 2>/dev/null; then
+works() { PYTHONPATH="$target" "$python" -c 'import msgspec' 2>/dev/null; }
+if ! works; then
   rm -rf "$target"
   mkdir -p "$target"
-  declared=$(sed -n 's/^fleet = \["\(.*\)"\]$/\1/p' pyproject.toml)
-  pinned=$(grep '^msgspec==' requirements-tools.txt || echo "${declared:-msgspec}")
-  # without the registry: what the development environment has
-  "$python" -m pip install -q --disable-pip-version-check --no-deps --target "$target" "$pinned" || {
-    found=$(ls -d .venv-dev/lib/python*/site-packages/msgspec 2>/dev/null | head -1)
-    test -n "$found" && cp -r "$found" "$target/"
-  }
+  pinned=$(grep '^msgspec==' requirements-tools.txt || echo msgspec)
+  "$python" -m pip install -q --disable-pip-version-check --no-deps --target "$target" "$pinned" || true
 fi
+# without the registry: what another environment of the project has
+for found in .venv-dev/lib/python*/site-packages .ci-venv/lib/python*/site-packages; do
+  if ! works && test -d "$found/msgspec"; then
+    rm -rf "$target/msgspec"
+    cp -r "$found/msgspec" "$target/"
+  fi
+done
 PYTHONPATH="$target" "$python" -c 'import msgspec; print("msgspec", msgspec.__version__)'
 "$python" -m py_compile review/common-2/*.py && rm -rf review/common-2/__pycache__
--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -555,20 +555,24 @@
         if not (ROOT / ".venv" / "bin" / "python").exists():
             print("not run: the build of the deploy file is missing")
             return NOT_RUN
-        case = Case(Path(script).resolve().parent)
+        folder = Path(script).resolve().parent
+        case, playing = Case(folder), asyncio.current_task()
+        assert playing is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, playing.cancel)
+        broken, reason = "", ""
         try:
             async with asyncio.timeout(limit):
                 broken = await play(case)
-        except (CannotRun, TimeoutError, OSError) as e:
-            case.record(f"RESULT not run: {e!r}")
-            print(f"not run: {e!r}")
-            return NOT_RUN
-        finally:
-            if not case.record.file.closed:
-                await case.end()
-        print(f"broken: {broken}" if broken else "held")
-        with (Path(script).resolve().parent / "record.txt").open("a") as file:
-            file.write(f"RESULT {'broken: ' + broken if broken else 'held'}\n")
-        return BROKEN if broken else HELD
+        except asyncio.CancelledError:
+            reason = "told to end"
+        except Exception as e:
+            reason = repr(e)
+        await case.end()
+        result = f"not run: {reason}" if reason else f"broken: {broken}" if broken else "held"
+        print(result)
+        with (folder / "record.txt").open("a") as file:
+            file.write(f"RESULT {result}\n")
+        return NOT_RUN if reason else BROKEN if broken else HELD
 
     sys.exit(asyncio.run(run()))
