Serve new connections while the service address is handed over, until it is withdrawn

Cause: `Election._step_down` ended the lease at once, and the listener closes what it accepts without one. That check is for a process that wakes after its clients have gone to another router; in a hand-over the network still directs them here. The withdrawal came after the drain and was not waited for.

Ruled out: the listening socket (it is accepted on for 0.5 s more), the drain (it closes idle connections only).

Change: the lease stays in force while its holder steps down, without renewals; the listener asks for it. One hand-over for the address by itself and as a duty: drain for half of the lease that is left, withdraw and wait for the link, drain, release. No other router can be elected before the release, and no new client comes after it. The simulated election judges routers that serve, not only holders; a wrong form is caught.

--- a/myrtlecourse/address/driver.py
+++ b/myrtlecourse/address/driver.py
@@ -7,11 +7,11 @@
 import random
 import time
 from collections.abc import Awaitable, Callable
-from contextlib import suppress
 from pathlib import Path
 from typing import Any
 
 from myrtlecourse.address.codec import ElectionCodec
+from myrtlecourse.address.handover import withdraw
 from myrtlecourse.address.link import Link, LinkUpdater
 from myrtlecourse.address.votes import write_votes
 from myrtlecourse.election import messages
@@ -20,8 +20,6 @@
 from myrtlecourse.peers.peer_socket import Endpoint, PeerSocket
 from myrtlecourse.peers.wire import Wire
 
-# seconds for accepted requests to end before the address is withdrawn, while the lease lasts
-DRAIN_TIMEOUT = 1.0
 POLL_INTERVAL = 0.1  # seconds between checks of whether this router can serve
 log = logging.getLogger(__name__)
 bounded = RateLimitedLog(log)
@@ -48,8 +46,8 @@
         `able` returns whether this router can serve clients. `on_change` is called with True when this router
         acquires the address, and with False when it loses it.
 
-        When it loses the address, nothing may be accepted any more once `on_change` has returned;
-        `wait_until_drained` then waits until the accepted requests have ended.
+        When it loses the address, clients may be accepted only while `may_serve` returns True;
+        `wait_until_drained` waits until no client is connected any more.
         """
         rng = random.SystemRandom()
         start = rng.getrandbits(62) + 1
@@ -80,6 +78,13 @@
         """Return whether this router holds the address now."""
         return self.election.holds(time.monotonic())
 
+    def may_serve(self) -> bool:
+        """Return whether this router may accept clients: it holds the address, or is handing it over."""
+        return self._lease_left() > 0.0
+
+    def _lease_left(self) -> float:
+        return self.election.lease_left(time.monotonic())
+
     async def _poll(self) -> None:
         """Report to the election whether this router can serve; after a stall of its event loop it can't."""
         while True:
@@ -130,15 +135,7 @@
         return True
 
     async def _withdraw(self) -> None:
-        """Let accepted requests end while their clients can still be reached, then withdraws the address.
-
-        The network directs the packets of open connections to the router that announces the address, so the
-        next holder's announcement would cut them.
-        """
-        with suppress(TimeoutError):
-            async with asyncio.timeout(DRAIN_TIMEOUT):
-                await self.wait_until_drained()
-        self.link_updater.request(None)
+        await withdraw(self.link_updater, self.wait_until_drained, self._lease_left)
         self.post(messages.Withdrawn())
 
     def _log_move(self, text: str) -> None:
--- a/myrtlecourse/address/duty.py
+++ b/myrtlecourse/address/duty.py
@@ -5,10 +5,9 @@
 import asyncio
 import time
 from collections.abc import Awaitable, Callable
-from contextlib import suppress
 from typing import Any
 
-from myrtlecourse.address.driver import DRAIN_TIMEOUT
+from myrtlecourse.address.handover import withdraw
 from myrtlecourse.address.link import Link, LinkUpdater
 from myrtlecourse.duties import messages
 from myrtlecourse.duties.driver import DutyDriver
@@ -30,8 +29,8 @@
 
         `on_change` is called with True when this router acquires the address, with False when it loses it.
 
-        When it loses the address, nothing may be accepted any more once `on_change` has returned;
-        `wait_until_drained` then waits until the accepted requests have ended.
+        When it loses the address, clients may be accepted only while `may_serve` returns True;
+        `wait_until_drained` waits until no client is connected any more.
         """
         self.driver = driver
         self.link_updater = LinkUpdater(link)
@@ -43,6 +42,13 @@
         """Return whether this router holds the address now."""
         return self.driver.acting_token(ADDRESS) is not None
 
+    def may_serve(self) -> bool:
+        """Return whether this router may accept clients: it holds the address, or is handing it over."""
+        return self._lease_left() > 0.0
+
+    def _lease_left(self) -> float:
+        return self.driver.duties.elections[ADDRESS].lease_left(time.monotonic())
+
     def on_acquired(self, token: int, value: messages.Value) -> None:
         self.on_change(True)
         self.link_updater.request(token)
@@ -52,11 +58,7 @@
         self.withdrawal = asyncio.create_task(self._withdraw())
 
     async def _withdraw(self) -> None:
-        """Let accepted requests end while their clients can still be reached, then withdraws the address."""
-        with suppress(TimeoutError):
-            async with asyncio.timeout(DRAIN_TIMEOUT):
-                await self.wait_until_drained()
-        self.link_updater.request(None)
+        await withdraw(self.link_updater, self.wait_until_drained, self._lease_left)
         self.driver.post(messages.WorkStopped(ADDRESS))
 
     def on_committed(self, token: int, number: int) -> None:
--- a/myrtlecourse/address/link.py
+++ b/myrtlecourse/address/link.py
@@ -100,12 +100,15 @@
         self.requested: int | None = None  # the term to announce; None: withdraw the address
         self.applied: int | None = None  # the term that the link has announced; None: none
         self.changed = asyncio.Event()
+        self.up_to_date = asyncio.Event()  # set while the link has applied what was requested last
+        self.up_to_date.set()
         self.failures = 0  # consecutive errors of the link
         self.task: asyncio.Task[None] | None = None
 
     def request(self, term: int | None) -> None:
         """Request to announce the address in a term or, with None, to withdraw it."""
         self.requested = term
+        self.up_to_date.clear()
         self.changed.set()
         if self.task is None:
             self.task = asyncio.create_task(self._apply())
@@ -129,6 +132,7 @@
                     await asyncio.sleep(self.RETRY_PAUSE)
                     continue
             if not self.changed.is_set():
+                self.up_to_date.set()
                 await self.changed.wait()
 
     def close(self) -> None:
--- a/myrtlecourse/election/core.py
+++ b/myrtlecourse/election/core.py
@@ -12,7 +12,8 @@
 
 A holder steps down when it can't serve, resigns, hands the lease over, or its lease expires. It first stops
 acting (`Withdraw`) and, once nothing is accepted any more (`Withdrawn`), frees the voters from their promises
-(`Release`) and, in a handover, asks its successor to campaign (`Take`).
+(`Release`) and, in a handover, asks its successor to campaign (`Take`). Until then its lease stays in force,
+without renewals, so that what still reaches it can be served.
 """
 
 from __future__ import annotations
@@ -124,7 +125,21 @@
         connections that arrived while it was the holder. As a safety margin, a holder counts as such only
         until half a heartbeat before its lease ends.
         """
-        return self.role is Role.HOLDER and now < self.lease_until - self.settings.heartbeat / 2
+        return self.role is Role.HOLDER and now < self.lease_safe_until
+
+    @property
+    def lease_safe_until(self) -> float:
+        """Until when this instance relies on its lease: half a heartbeat before the lease ends."""
+        return self.lease_until - self.settings.heartbeat / 2
+
+    def lease_left(self, now: float) -> float:
+        """Return the seconds for which no other instance can hold the lease, by this instance's clock.
+
+        Also positive while this instance steps down, until the lease ends or `Withdrawn` releases it.
+        """
+        if self.role not in (Role.HOLDER, Role.STEPPING_DOWN):
+            return 0.0
+        return max(0.0, self.lease_safe_until - now)
 
     def handle(self, now: float, event: Event) -> list[Action]:
         """Handle one event and return the actions to be carried out, in order.
@@ -211,7 +226,7 @@
     def _next_due(self) -> float:
         """Return when something is due next."""
         if self.role is Role.HOLDER:
-            times = [self.heartbeat_at, self.lease_until - self.settings.heartbeat / 2]
+            times = [self.heartbeat_at, self.lease_safe_until]
             return min([*times, self.unable_since + self.settings.unwell])
         if self.role in (Role.PRE_VOTE, Role.CAMPAIGNING):
             return self.vote_count.asked_at + self.settings.heartbeat
@@ -477,7 +492,6 @@
         more."""
         self.actions.append(Withdraw(reason))
         self.role = Role.STEPPING_DOWN
-        self.lease.end()
 
     def _on_resign(self, reason: str, pause: float) -> None:
         """Step down and pause campaigning: a holder that serves badly would otherwise be the first to
@@ -495,6 +509,7 @@
         """
         if self.role is not Role.STEPPING_DOWN:
             return
+        self.lease.end()
         self._become_backup()
         self._send_to_voters(Release(self.term))
         if self.successor:
@@ -546,7 +561,7 @@
         self.settings = settings
         if self.role in (Role.PRE_VOTE, Role.CAMPAIGNING):
             self._become_backup()
-        if self.role is Role.HOLDER:
+        if self.role in (Role.HOLDER, Role.STEPPING_DOWN):
             # updates only extend a lease; a majority of the new voters may support it for a shorter time
             self.lease.end()
             self.lease.update(self.settings, self.now)
--- a/myrtlecourse/net/listener.py
+++ b/myrtlecourse/net/listener.py
@@ -85,8 +85,8 @@
         self.tasks: list[asyncio.Task[None]] = []
         self.drain_task: asyncio.Task[None] | None = None  # while the router is out of service
         self.inherited = False  # whether the socket is inherited, so that other processes hold it as well
-        # whether this process holds the service address; None if the address does not move
-        self.holds_address: Callable[[], bool] | None = None
+        # whether this process may serve clients of the service address; None if the address does not move
+        self.may_serve: Callable[[], bool] | None = None
         self.loop: asyncio.AbstractEventLoop  # set by `start`
         self.acceptor: Acceptor  # set by `start`
 
@@ -111,9 +111,9 @@
 
     async def _take_client(self, client: socket.socket) -> None:
         """Set up the connection of an accepted client, and make room for it."""
-        if self.holds_address is not None and not self.holds_address():
-            # This process was suspended and has lost the service address; the client meant its present
-            # holder.
+        if self.may_serve is not None and not self.may_serve():
+            # This process has lost the service address, for example while it was suspended; the client meant
+            # the present holder.
             client.close()
             return
         connection = ClientConnection(self.host, self, client)
--- a/myrtlecourse/subsystems.py
+++ b/myrtlecourse/subsystems.py
@@ -168,7 +168,7 @@
         self.address_driver = make_driver(
             table, lambda: self._can_serve(table), self._on_address_change, self.service.listener.wait_drained
         )
-        self.service.listener.holds_address = self.address_driver.holds
+        self.service.listener.may_serve = self.address_driver.may_serve
         self._on_address_change(False)
         own = next(p.at for p in table.peers if p.name == table.name)
         try:
@@ -191,7 +191,7 @@
         )
         driver.works[ADDRESS] = self.address_work
         driver.abilities[ADDRESS] = lambda: self._can_serve(table)
-        self.service.listener.holds_address = self.address_work.holds
+        self.service.listener.may_serve = self.address_work.may_serve
         self._on_address_change(False)
 
     async def _start_duties(self, file: OperatorsFile, table: Duties) -> None:
@@ -266,7 +266,7 @@
     def _on_address_change(self, here: bool) -> None:
         """Start to serve clients if this router has acquired the service address (`here`).
 
-        If it has lost the address, accept nothing new and drain at once.
+        If it has lost the address, drain at once; the listener accepts clients only while the lease lasts.
         """
         self.service.host.holds_service_address = here
         if not here:
--- a/tests/test_election.py
+++ b/tests/test_election.py
@@ -90,6 +90,33 @@
         self.startup_wait_until = -math.inf
 
 
+class ServesUntilWithdrawn(Election):
+    """Faulty on purpose: serves until the address is withdrawn, even after its lease has ended."""
+
+    def lease_left(self, now: float) -> float:
+        return math.inf if self.role is Role.STEPPING_DOWN else super().lease_left(now)
+
+
+# Guards against two routers that serve while the address is handed over.
+@needs_sources
+@pytest.mark.parametrize("make_election", [Election, ServesUntilWithdrawn])
+def test_a_holder_serves_during_a_handover_for_as_long_as_its_lease(make_election: type[Election]) -> None:
+    simulation = make_simulation(make_election=make_election)
+    simulation.start()
+    first = first_holder(simulation)
+    simulation.run(5.0)
+    instance = simulation.instances[first]
+    instance.withdrawal_time = 2 * simulation.settings(first).lease
+    instance.post(messages.Move(""))
+    assert not simulation.holders() and instance.may_serve()
+    if make_election is Election:
+        simulation.run(instance.withdrawal_time)
+        assert simulation.holders() not in ([], [first]) and not instance.may_serve()
+    else:
+        with pytest.raises(TwoHolders):
+            simulation.run(instance.withdrawal_time)
+
+
 @needs_sources
 @pytest.mark.parametrize("wrong", [GrantsAnyVote, CountsLeaseFromAnswer, BreaksPromises])
 def test_random_schedules_catch_a_wrong_election(wrong: type[Election]) -> None:
