Wait at the end for the deadlines of what was taken, and answer what outlasts it

Cause: the length of the end came from the settings in force, not from the open requests, which keep theirs. When it was over nobody answered them; closing the connections to servers looked like a reset, and led to another attempt.

Ruled out: the accept time (it is over long before), SIGKILL (none is sent).

--- a/myrtlecourse/net/host.py
+++ b/myrtlecourse/net/host.py
@@ -277,6 +277,21 @@
         """Refuse from now on requests whose deadline is more than `seconds` away."""
         self.answer_deadline = self.clock.now() + seconds
 
+    def longest_time_left(self) -> float:
+        """Return the seconds until the last deadline of the open requests; 0 without any.
+
+        Their deadlines are those of the settings under which each was accepted.
+        """
+        deadlines = (r.deadline for r in self.requests.values() if not r.closed)
+        return max(0.0, max(deadlines, default=0.0) - self.clock.now())
+
+    def settle_open_requests(self) -> None:
+        """Give each open request its final answer now, as this process ends; no further attempt is made."""
+        for request_id, request in list(self.requests.items()):
+            request.deadline_passed = True
+            self._answer(request_id, FAILED_ANSWER if request.attempts_started else busy_answer(0.0))
+            self._time_out_attempts(request)
+
     def refuse_early(self, info: bytes, read_delay: float, core_delay: float) -> bytes | None:
         """Return the refusal of a command that need not be parsed, or None.
 
--- a/myrtlecourse/net/listener.py
+++ b/myrtlecourse/net/listener.py
@@ -39,6 +39,7 @@
 FRONT_REACTION_TIME = 0.5
 # seconds, of the 2 that a drain may take, after which commands of the remaining clients are refused
 DRAIN_REFUSAL_DELAY = 1.5
+SETTLEMENT_TIME = 0.05  # seconds for the last answers of an ending process to reach its clients
 LINGERING_ALLOWANCE = 8  # half-closed connections whose descriptors do not count against the budget
 # Seconds over which a client that has to read first must take its answer at `delivery.MIN_RATE`. A system
 # with a large receive buffer acknowledges at once what a slow client reads in 8 s, or in 16 s.
@@ -358,8 +359,8 @@
     async def stop(self, accept_time: float, time_limit: float) -> None:
         """Accept clients for `accept_time` seconds more, then return when no client has an open request.
 
-        Returns after `time_limit` seconds from now at the latest. An inherited socket is not accepted on any
-        more, as the following process accepts on it already or soon will.
+        What is still open `time_limit` seconds from now is given its final answer then. An inherited socket
+        is not accepted on any more, as the following process accepts on it already or soon will.
         """
         started_at = asyncio.get_running_loop().time()
         if not self.inherited:
@@ -374,12 +375,19 @@
         # before it has answered them.
         self.stopping = True
         self.host.set_answer_deadline(time_limit - (loop.time() - started_at))
+        if not await self._close_all(time_limit - (loop.time() - started_at)):
+            self.host.settle_open_requests()
+            await self._close_all(SETTLEMENT_TIME)
+        self.hang_up_monitor.close()
+
+    async def _close_all(self, time_limit: float) -> bool:
+        """Close connections as they become idle; return whether none is left within `time_limit` seconds."""
         with suppress(TimeoutError):
-            async with asyncio.timeout(time_limit - (loop.time() - started_at)):
+            async with asyncio.timeout(time_limit):
                 while self.connections or self.setting_up:
                     self.state_changed.clear()
                     self._close_idle()
                     with suppress(TimeoutError):
                         async with asyncio.timeout(SWEEP_INTERVAL):
                             await self.state_changed.wait()
-        self.hang_up_monitor.close()
+        return not self.connections and not self.setting_up
--- a/myrtlecourse/service.py
+++ b/myrtlecourse/service.py
@@ -214,9 +214,9 @@
             "from now on" if inherited else f"in {FRONT_REACTION_TIME:g} s",
         )
         self.shutting_down = True
-        longest = (
-            min(MAX_SHUTDOWN_DEADLINE, self.host.settings.longest_deadline) + KILL_GRACE - SHUTDOWN_MARGIN
-        )
+        # open requests may have been accepted under settings with longer deadlines than the present ones
+        longest_deadline = max(self.host.settings.longest_deadline, self.host.longest_time_left())
+        longest = min(MAX_SHUTDOWN_DEADLINE, longest_deadline) + KILL_GRACE - SHUTDOWN_MARGIN
         ends_at = loop.time() + longest
         # While duties are handed over, requests are still accepted; those whose deadline is later than
         # `ends_at` are refused.
