Hand the list of servers to the next process, which forgot drains without discovery

Cause: the new process waits 1 s for discovery and then serves from the configuration's list. Orders and listed ids are handed on in $TMPDIR, the list was not.

Change: the list as told last goes to the next process in a file, versioned, bounded, replaced as a whole; one that can't be used costs only itself. Listed ids are written by the same code.

--- a/myrtlecourse/net/discovery.py
+++ b/myrtlecourse/net/discovery.py
@@ -17,6 +17,7 @@
 from myrtlecourse.net.pool import parse_address
 
 STATES = {"in_service": api.State.READY, "terminating": api.State.DRAINING, "terminated": api.State.GONE}
+STATE_NAMES = {state: name for name, state in STATES.items()}
 MAX_LIST = 4 * 1024 * 1024  # bytes
 # seconds after which the protocol takes changes at discovery as known to routers, whether or not they arrived
 ASSUMED_DELIVERY = 6.0
@@ -73,6 +74,21 @@
     return Member(server_entry, address)
 
 
+def member_entry(member: Member) -> dict[str, Any]:
+    """Return the entry of a list that `read_member` parses to this member."""
+    entry = member.entry
+    return {
+        "name": entry.server,
+        "address": member.address,
+        "status": STATE_NAMES[entry.state],
+        "type": entry.kind,
+        "zone": entry.zone,
+        "group": entry.cell,
+        "weight": entry.weight,
+        "since_ms": entry.listed_start * 1000,
+    }
+
+
 @dataclass(slots=True, frozen=True)
 class UnparsedList:
     """The header of a list, and its entries, which are not parsed yet."""
--- a/myrtlecourse/ops/listed_servers.py
+++ b/myrtlecourse/ops/listed_servers.py
@@ -6,15 +6,14 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
-import os
-from collections.abc import Iterable
-from contextlib import suppress
+from collections.abc import Callable, Iterable
 from pathlib import Path
 
 import orjson
 
+from myrtlecourse.ops.shared_file import SharedFile
+
 # ids that are remembered, more than a list of `discovery.MAX_LIST` bytes names; beyond that, those listed
 # longest ago are forgotten
 MAX_LISTED = 32 * 1024
@@ -55,23 +54,20 @@
     """Keeps listed ids in a folder that the processes of a router share; does nothing without one."""
 
     def __init__(self, folder: Path | None, listed: ListedServers) -> None:
-        self.path = folder / "myrtlecourse-listed.json" if folder is not None else None
         self.listed = listed
-        self.timer: asyncio.TimerHandle | None = None
-        self.write: asyncio.Future[None] | None = None  # the latest write
+        self.file = SharedFile(folder, "myrtlecourse-listed.json", SAVE_DELAY, self._prepare)
+
+    def _prepare(self) -> Callable[[], bytes]:
+        text = orjson.dumps({"version": VERSION, "listed": self.listed.cache_by_id})
+        return lambda: text
 
     def load(self) -> None:
         """Record the ids that the process before has written, as listed before all others."""
-        if self.path is None:
-            return
         try:
-            if self.path.stat().st_size > MAX_FILE_SIZE:
-                raise ValueError("the file is too large")
-            ids = self._read(self.path.read_bytes())
-        except FileNotFoundError:
-            return
+            text = self.file.read(MAX_FILE_SIZE)
+            ids = self._read(text) if text is not None else []
         except (OSError, ValueError) as e:
-            log.error("listed ids in %s can't be used: %s", self.path, e)
+            log.error("listed ids in %s can't be used: %s", self.file.path, e)
             return
         self.listed.record(ids)
 
@@ -89,32 +85,8 @@
 
     def save_soon(self) -> None:
         """Write the ids after a short time, together with others that are listed until then."""
-        if self.path is not None and self.timer is None:
-            self.timer = asyncio.get_running_loop().call_later(SAVE_DELAY, self._save, self.path)
-
-    def _save(self, path: Path) -> None:
-        self.timer = None
-        if self.write is not None and not self.write.done():
-            self.save_soon()  # two writes at a time would spoil each other's file
-            return
-        text = orjson.dumps({"version": VERSION, "listed": self.listed.cache_by_id})
-        # A disk that takes long must not hold up requests.
-        self.write = asyncio.get_running_loop().run_in_executor(None, replace_listed, path, text)
+        self.file.save_soon()
 
     def close(self) -> None:
         """Write no more."""
-        if self.timer is not None:
-            self.timer.cancel()
-            self.timer = None
-
-
-def replace_listed(path: Path, text: bytes) -> None:
-    """Replace the file atomically; a failure is logged, as the ids only serve calls after an upgrade."""
-    temporary = path.with_suffix(f".{os.getpid()}")
-    try:
-        temporary.write_bytes(text)
-        temporary.rename(path)
-    except OSError as e:
-        log.error("listed ids can't be written: %s", e)
-        with suppress(OSError):
-            temporary.unlink(missing_ok=True)
+        self.file.close()
--- a/myrtlecourse/service.py
+++ b/myrtlecourse/service.py
@@ -35,6 +35,7 @@
 from myrtlecourse.ops.listed_servers import ListedServers, ListedServersFile
 from myrtlecourse.ops.orders import Orders, OrdersError, events_between
 from myrtlecourse.ops.server import OpsServer
+from myrtlecourse.ops.server_list_file import ServerListFile, ServerListRecord
 from myrtlecourse.ops.store import OrderStore
 from myrtlecourse.overload.core import CoreAdmission
 from myrtlecourse.reload_signal import early_reload
@@ -108,6 +109,8 @@
         self.listener = Listener(self.host, available // 2, descriptors, self.memory)
         self.listed_servers = ListedServers()
         self.listed_servers_file = ListedServersFile(folder, self.listed_servers)
+        # only a router with an inherited socket is upgraded
+        self.server_list_file = ServerListFile(folder if inherited is not None else None, self._told_list)
         self.store = OrderStore(folder)
         self.claims = None
         if folder is not None and inherited is not None:
@@ -141,6 +144,25 @@
         self.host.submit_list(kind, members)
         if kind is not api.ListKind.SAVED:
             self.list_received.set()
+            if members:
+                self.server_list_file.save_soon()
+
+    def _told_list(self) -> ServerListRecord | None:
+        """Return the list that discovery has told; None while a part of it is not applied yet."""
+        discovery = self.discovery
+        if discovery.index is None or self.host.list_updates.pending:
+            return None
+        return ServerListRecord(discovery.address, discovery.index, tuple(self.host.members.values()))
+
+    def _apply_saved_list(self) -> None:
+        """Apply the newest list that needs no discovery: of the process before, or of the configuration."""
+        index, members = self.config.known_index, self.config.known
+        if self.inherited is not None:
+            record = self.server_list_file.load(self.config.discovery, index)
+            if record is not None:
+                logging.info("the list of servers is that of the process before, index %d", record.index)
+                members = list(record.members)
+        self._on_list(api.ListKind.SAVED, members)
 
     async def run(self) -> None:
         """Serve until SIGTERM, then finishes the accepted requests and shuts down. Raises ConfigError."""
@@ -155,7 +177,7 @@
         self._apply_orders()
         if self.inherited is not None:
             self.listed_servers_file.load()
-        self._on_list(api.ListKind.SAVED, self.config.known)
+        self._apply_saved_list()
         if not self.config.settings.subscribe:
             # the decision module then sends no `Subscribe`, as it expects that lists are pushed; they are
             # fetched here all the same
@@ -186,6 +208,7 @@
             task.cancel()
         self.ops.close()
         self.listed_servers_file.close()
+        self.server_list_file.close()
         self.discovery.close()
         self.servers.close()
         self.origin.close()
@@ -234,15 +257,13 @@
                 closing.cancel()
 
     async def _wait_for_list(self) -> None:
-        """Wait for a list from discovery: at an upgrade the list in the configuration may be old."""
+        """Wait for a list from discovery: at an upgrade a saved list may be old."""
         try:
             async with asyncio.timeout(FIRST_LIST_TIMEOUT):
                 await self.list_received.wait()
         except TimeoutError:
-            logging.warning(
-                "no list from discovery in %g s; starting with the one in the configuration",
-                FIRST_LIST_TIMEOUT,
-            )
+            logging.warning("no list from discovery in %g s; starting with a saved one", FIRST_LIST_TIMEOUT)
+            self._apply_saved_list()  # the process before may have been told more meanwhile
 
     # Operators' orders
 
--- a/tests/test_ops_listed.py
+++ b/tests/test_ops_listed.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import threading
+from collections.abc import Callable
 from pathlib import Path
 
 import orjson
 import pytest
 
 from myrtlecourse.ops import listed_servers as module
+from myrtlecourse.ops import shared_file
 from myrtlecourse.ops.listed_servers import ListedServers, ListedServersFile
 
 FILE = "myrtlecourse-listed.json"
@@ -93,8 +95,8 @@
     texts: list[bytes] = []
     may_end = threading.Event()
 
-    def write_slowly(path: Path, text: bytes) -> None:
-        texts.append(text)
+    def write_slowly(path: Path, encode: Callable[[], bytes]) -> None:
+        texts.append(encode())
         assert may_end.wait(10.0)
 
     async def scenario() -> None:
@@ -111,7 +113,7 @@
         file.close()
 
     monkeypatch.setattr(module, "SAVE_DELAY", 0.001)
-    monkeypatch.setattr(module, "replace_listed", write_slowly)
+    monkeypatch.setattr(shared_file, "replace", write_slowly)
     asyncio.run(scenario())
 
 
@@ -126,6 +128,6 @@
     tmp_path: Path, caplog: pytest.LogCaptureFixture
 ) -> None:
     (tmp_path / FILE).mkdir()
-    module.replace_listed(tmp_path / FILE, orjson.dumps({}))
+    shared_file.replace(tmp_path / FILE, lambda: orjson.dumps({}))
     assert "can't be written" in caplog.text
     assert [path.name for path in tmp_path.iterdir()] == [FILE]
