Have a new process take its votes and promises in duties once the old one is silent

Cause: the new process read the memory file and began its wait of a lease at its start, and heard the others only once the old process had closed its socket. What that one promised in between was forgotten.

Ruled out: the file (votes are on the disk before they are sent), the length of the wait.

Change: the file is read, and elections begin, once the new process has the socket's address, which the old one closes after its last write. The spread's log did so already.

--- a/myrtlecourse/duties/driver.py
+++ b/myrtlecourse/duties/driver.py
@@ -14,7 +14,7 @@
 from myrtlecourse.duties import messages
 from myrtlecourse.duties.codec import DutyCodec, split
 from myrtlecourse.duties.core import Duties
-from myrtlecourse.duties.memory import write_memories
+from myrtlecourse.duties.memory import MemoryFileError, read_memories, write_memories
 from myrtlecourse.duties.message_log import MessageLog
 from myrtlecourse.election import messages as election
 from myrtlecourse.net.rate_limited_log import RateLimitedLog
@@ -25,7 +25,8 @@
 # seconds between checks whether this process can hold a duty, and calls of its holders' work
 POLL_INTERVAL = 0.1
 MAX_WAITING = 1000  # actions that may wait for the disk
-RETRY_PAUSE = 0.2  # seconds until another attempt to listen or to write the memory file
+RETRY_PAUSE = 0.2  # seconds until another attempt to write the memory file
+LAST_WRITE_TIMEOUT = 1.0  # seconds for which an ending process waits for a write of the memory file
 # Messages that rely on stored votes or accepted orders, and are sent once these are on disk. Renewed promises
 # are not stored; instead, a process grants nothing for the time of a lease after its start.
 PROMISES = (election.Ask, election.Grant, messages.Known, messages.Taken)
@@ -64,11 +65,16 @@
         peers: dict[str, Endpoint],
         keys: tuple[bytes, tuple[bytes, ...]],
         memory: Path | None,
-        saved: dict[str, messages.Memory] | None,
         able: Callable[[], bool],
     ) -> None:
-        """`able` returns whether this router can hold duties now; `saved` is what was read from the file
-        `memory`."""
+        """Create the driver, which takes no part yet; `start` does.
+
+        `able` returns whether this router can hold duties now; `memory` is the memory file.
+
+        Raises:
+            MemoryFileError: the memory file can't be used.
+            ValueError: a key is too short.
+        """
         rng = random.SystemRandom()
         start = rng.getrandbits(62) + 1
         super().__init__(Wire(settings.name, settings.members, keys[0], start, DutyCodec(), keys[1]), peers)
@@ -81,13 +87,13 @@
         # actions that must wait for the write to end
         self.waiting_for_disk: list[messages.Send | messages.Committed] = []
         self.able = able
-        now, term_floor = time.monotonic(), start_number(time.time())
-        self.duties = Duties(settings, saved, now, rng.getrandbits(32), term_floor)
+        self.rng = rng
+        self.duties = self._make_duties()
         self.works: dict[str, Work] = {}
         # duty -> whether this router meets the duty's own conditions
         self.abilities: dict[str, Callable[[], bool]] = {}
         self.running: list[asyncio.Task[None]] = []  # background tasks
-        self.polled_at = now
+        self.polled_at = time.monotonic()
         self.moves: list[str] = []  # the last changes, for operators
         self.obeyed_holders: dict[str, str] = {}  # duty -> the holder that was obeyed last, with its token
         self.closing = False
@@ -96,29 +102,44 @@
     async def start(self, bind: Endpoint, shared: bool) -> None:
         """Start to listen and takes part.
 
-        If another process of this router may still listen (`shared`, during an upgrade), retries until the
-        address is free. Raises OSError.
+        If another process of this router may still listen (`shared`, during an upgrade), this one takes part
+        once that has closed its socket. Raises OSError.
         """
         if shared:
-            self.running.append(asyncio.create_task(self._listen_when_free(bind)))
+            self.running.append(asyncio.create_task(self._follow(bind)))
         else:
-            await self._listen(bind)
+            self._take_part(await self.listen(bind))
+
+    async def _follow(self, bind: Endpoint) -> None:
+        """Take part after the previous process, with what it has promised and accepted until its end."""
+        try:
+            at = await self.listen_when_free(bind)
+        except OSError as e:
+            log.error("duties: this router takes no part: %s", e)
+            return
+        try:
+            self.duties = self._make_duties()
+        except MemoryFileError as e:
+            log.error("duties: this router takes no part: %s", e)
+            self.close_socket()
+            return
+        self._take_part(at)
+
+    def _make_duties(self) -> Duties:
+        """Return the duties as stored; their elections grant nothing for a lease from now. Raises
+        MemoryFileError."""
+        saved = read_memories(self.memory) if self.memory is not None else None
+        term_floor = start_number(time.time())
+        return Duties(self.settings, saved, time.monotonic(), self.rng.getrandbits(32), term_floor)
 
-    async def _listen(self, bind: Endpoint) -> None:
-        log.info("duties: listening for other routers on %s:%d", *await self.listen(bind))
+    def _take_part(self, at: Endpoint) -> None:
+        log.info("duties: listening for other routers on %s:%d", *at)
         for name in self.settings.members:
             if name != self.settings.name:
                 self.send(name, self.wire.hello(name))
         self.polled_at = time.monotonic()
         self.running.append(asyncio.create_task(self._poll()))
 
-    async def _listen_when_free(self, bind: Endpoint) -> None:
-        while self.transport is None:
-            try:
-                await self._listen(bind)
-            except OSError:
-                await asyncio.sleep(RETRY_PAUSE)
-
     async def _poll(self) -> None:
         """Report regularly whether this process can hold duties; it can't after a stall of its event loop."""
         while True:
@@ -277,7 +298,8 @@
         if peers[settings.name] != self.peers[settings.name]:
             raise messages.DutiesError("name: its address can't change while it runs")
         if settings != self.settings:
-            self.post(messages.SettingsChanged(settings))
+            if self.transport is not None:  # otherwise this process begins with the new settings
+                self.post(messages.SettingsChanged(settings))
             self.settings = settings
             self.wire.set_members(settings.members)
         self.wire.seal.set_keys(*keys)
@@ -317,5 +339,9 @@
         for task in self.running:
             task.cancel()
         if self.writing is not None:
-            self.writing.cancel()
+            # the next process reads the file once it has the socket's address: nothing is written after that
+            await asyncio.wait([self.writing], timeout=LAST_WRITE_TIMEOUT)
+            if self.writing is not None:
+                self.writing.cancel()
+                return  # the socket is closed as the process ends, which waits for the write
         self.close_socket()
--- a/myrtlecourse/duties/setup.py
+++ b/myrtlecourse/duties/setup.py
@@ -10,7 +10,7 @@
 from myrtlecourse.config import ConfigError
 from myrtlecourse.duties.command_work import CommandRunner, HoldWork, StepWork
 from myrtlecourse.duties.driver import DutyDriver
-from myrtlecourse.duties.memory import MemoryFileError, read_memories
+from myrtlecourse.duties.memory import MemoryFileError
 from myrtlecourse.net.pool import parse_address
 from myrtlecourse.peers.peer_socket import Endpoint
 
@@ -39,12 +39,10 @@
     """
     memory = Path(table.memory_file) if table.memory_file is not None else None
     try:
-        saved = read_memories(memory) if memory is not None else None
+        driver = DutyDriver(settings, peers(table), keys(table), memory, able)
     except MemoryFileError as e:
         # a start without the memory may break promises in it, so only an operator may decide on it
         raise ConfigError(f"duties.memory_file: {e}; remove it to start without the memory") from e
-    try:
-        driver = DutyDriver(settings, peers(table), keys(table), memory, saved, able)
     except ValueError as e:
         raise ConfigError(str(e) if isinstance(e, ConfigError) else f"duties.key_file: {e}") from e
     for each in table.duty:
--- a/myrtlecourse/peers/peer_socket.py
+++ b/myrtlecourse/peers/peer_socket.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
 import time
 from collections.abc import Callable
@@ -12,6 +13,7 @@
 from myrtlecourse.peers.seal import Dropped
 from myrtlecourse.peers.wire import Control, Wire
 
+LISTEN_RETRY = 0.2  # seconds between attempts to get an address that another process still has
 bounded = RateLimitedLog(logging.getLogger(__name__))
 Endpoint = tuple[str, int]
 Message = TypeVar("Message")
@@ -44,6 +46,23 @@
         host, port = transport.get_extra_info("sockname")[:2]
         return host, port
 
+    async def listen_when_free(self, bind: Endpoint) -> Endpoint:
+        """Open the socket once no other process has its address, as during an upgrade, and return it.
+
+        What this process relies on of the other one, such as its votes, must be read after that: until then
+        the other process may promise more.
+
+        Raises:
+            OSError: the address can't be used for another reason.
+        """
+        while True:
+            try:
+                return await self.listen(bind)
+            except OSError as e:
+                if e.errno != errno.EADDRINUSE:
+                    raise
+            await asyncio.sleep(LISTEN_RETRY)
+
     def send(self, to: str, data: bytes) -> None:
         """Send a datagram to a member, if its address is known; it may be lost."""
         if self.transport is not None and to in self.peers:
--- a/tests/test_duty_parts.py
+++ b/tests/test_duty_parts.py
@@ -108,7 +108,7 @@
         settings = Settings("a", names, names, (duty,), heartbeat=1.0, lease=60.0, unheard=60.0, settle=0.0)
         peers = dict.fromkeys(names, ("127.0.0.1", 1))
         memory = tmp_path / "folder" / "memory"  # this folder does not exist yet
-        driver = DutyDriver(settings, peers, (b"k" * 16, ()), memory, None, lambda: True)
+        driver = DutyDriver(settings, peers, (b"k" * 16, ()), memory, lambda: True)
         driver.loop = asyncio.get_running_loop()
         sent: list[messages.Message] = []
         driver._send_items = lambda to, items: sent.extend(m for _, m in items)  # type: ignore[method-assign]
@@ -147,7 +147,7 @@
         settings = Settings("a", ("a", "b", "c"), ("a", "b", "c"), (Duty("x"),))
         memory = tmp_path / "folder" / "memory"
         peers = dict.fromkeys(settings.members, ("127.0.0.1", 1))
-        driver = DutyDriver(settings, peers, (b"k" * 16, ()), memory, None, lambda: True)
+        driver = DutyDriver(settings, peers, (b"k" * 16, ()), memory, lambda: True)
         reported: list[messages.Acquired | messages.Lost | messages.Committed] = []
         monkeypatch.setattr(driver, "_notify_work", reported.append)
         driver._carry_out(messages.Save({"x": Memory(1)}))
