--- a/myrtlecourse/duties/driver.py
+++ b/myrtlecourse/duties/driver.py
@@ -112,11 +112,7 @@
 
     async def _follow(self, bind: Endpoint) -> None:
         """Take part after the previous process, with what it has promised and accepted until its end."""
-        try:
-            at = await self.listen_when_free(bind)
-        except OSError as e:
-            log.error("duties: this router takes no part: %s", e)
-            return
+        at = await self.listen_when_free(bind)
         try:
             self.duties = self._make_duties()
         except MemoryFileError as e:
--- a/myrtlecourse/peers/peer_socket.py
+++ b/myrtlecourse/peers/peer_socket.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import errno
 import logging
 import time
 from collections.abc import Callable
@@ -27,6 +26,7 @@
         self.peers = peers
         self.loop: asyncio.AbstractEventLoop
         self.transport: asyncio.DatagramTransport | None = None
+        self.listening = asyncio.Event()  # set from when the socket is open for the first time
         self.timer: asyncio.TimerHandle | None = None
         self.sent = self.bytes_sent = 0
 
@@ -43,6 +43,7 @@
         self.loop = asyncio.get_running_loop()
         transport, _ = await self.loop.create_datagram_endpoint(lambda: self, local_addr=bind)
         self.transport = transport
+        self.listening.set()
         host, port = transport.get_extra_info("sockname")[:2]
         return host, port
 
@@ -50,17 +51,14 @@
         """Open the socket once no other process has its address, as during an upgrade, and return it.
 
         What this process relies on of the other one, such as its votes, must be read after that: until then
-        the other process may promise more.
-
-        Raises:
-            OSError: the address can't be used for another reason.
+        the other process may promise more. Why the address can't be used is not told apart, as not every
+        event loop says so.
         """
         while True:
             try:
                 return await self.listen(bind)
             except OSError as e:
-                if e.errno != errno.EADDRINUSE:
-                    raise
+                bounded.log(logging.INFO, "not listening for other routers yet: %s", e)
             await asyncio.sleep(LISTEN_RETRY)
 
     def send(self, to: str, data: bytes) -> None:
