Let a router with a service address be upgraded: the new process stands by until the old one left

With the address as a duty it closed connections meant for the holder, and never said yes, as the address was "elsewhere".

Cause: the election's socket was opened at once, though the old process has it; the listener accepted, and `ready` answered, as if no old process were there.

Change: the driver of the address follows as duties do; until then clients on the inherited socket are left to the old process, which accepts until it has handed the address over, and `ready` says yes.

--- a/myrtlecourse/address/driver.py
+++ b/myrtlecourse/address/driver.py
@@ -13,7 +13,7 @@
 from myrtlecourse.address.codec import ElectionCodec
 from myrtlecourse.address.handover import withdraw
 from myrtlecourse.address.link import Link, LinkUpdater
-from myrtlecourse.address.votes import write_votes
+from myrtlecourse.address.votes import VotesError, read_votes, write_votes
 from myrtlecourse.election import messages
 from myrtlecourse.election.core import Election, Role
 from myrtlecourse.net.rate_limited_log import RateLimitedLog
@@ -35,7 +35,6 @@
         key: bytes,
         link: Link,
         votes_file: Path | None,
-        saved: messages.Saved,
         able: Callable[[], bool],
         on_change: Callable[[bool], None],
         wait_until_drained: Callable[[], Awaitable[None]],
@@ -43,14 +42,18 @@
     ) -> None:
         """Create the driver; `start` opens its socket.
 
+        Raises:
+            VotesError: the votes file can't be used.
+            ValueError: a key is too short.
+
         `able` returns whether this router can serve clients. `on_change` is called with True when this router
         acquires the address, and with False when it loses it.
 
         When it loses the address, clients may be accepted only while `may_serve` returns True;
         `wait_until_drained` waits until no client is connected any more.
         """
-        rng = random.SystemRandom()
-        start = rng.getrandbits(62) + 1
+        self.rng = random.SystemRandom()
+        start = self.rng.getrandbits(62) + 1
         super().__init__(
             Wire(settings.name, settings.voters, key, start, ElectionCodec(), further_keys), peers
         )
@@ -62,17 +65,44 @@
         self.wait_until_drained = wait_until_drained
         self.withdrawal: asyncio.Task[None] | None = None
         self.link_updater = LinkUpdater(link)
-        self.election = Election(settings, saved, time.monotonic(), rng.getrandbits(32))
+        self.election = self._make_election()
         self.polling: asyncio.Task[None] | None = None
+        self.following: asyncio.Task[None] | None = None  # waits for the end of the previous process
         self.polled_at = time.monotonic()
         self.moves: list[str] = []  # when this router last acquired and lost the address, for operators
 
-    async def start(self, bind: Endpoint) -> Endpoint:
-        """Open the socket and return its address. Raises OSError."""
-        at = await self.listen(bind)
+    def _make_election(self) -> Election:
+        """Return the election with the votes as stored; it grants nothing for a lease from now. Raises
+        VotesError."""
+        saved = read_votes(self.votes_file) if self.votes_file is not None else messages.Saved()
+        return Election(self.settings, saved, time.monotonic(), self.rng.getrandbits(32))
+
+    async def start(self, bind: Endpoint, shared: bool) -> None:
+        """Open the socket and take part in the election.
+
+        If another process of this router may still listen (`shared`, during an upgrade), this one takes part
+        once that has closed its socket. Raises OSError.
+        """
+        if shared:
+            self.following = asyncio.create_task(self._follow(bind))
+        else:
+            self._take_part(await self.listen(bind))
+
+    async def _follow(self, bind: Endpoint) -> None:
+        """Take part after the previous process, with what it has voted until its end."""
+        at = await self.listen_when_free(bind)
+        try:
+            self.election = self._make_election()
+        except VotesError as e:
+            log.error("service address: this router takes no part: %s", e)
+            self.close_socket()
+            return
+        self._take_part(at)
+
+    def _take_part(self, at: Endpoint) -> None:
+        log.info("election of the service address: UDP socket on %s:%d", *at)
         self.polled_at = time.monotonic()
         self.polling = asyncio.create_task(self._poll())
-        return at
 
     def holds(self) -> bool:
         """Return whether this router holds the address now."""
@@ -151,7 +181,8 @@
         """
         if settings.name != self.settings.name or peers[settings.name] != self.peers[settings.name]:
             raise messages.ElectionError("name: a change of the name or the own address needs a restart")
-        self.post(messages.SettingsChanged(settings))
+        if self.transport is not None:  # otherwise this process begins with the new settings
+            self.post(messages.SettingsChanged(settings))
         self.settings, self.peers = settings, peers
         self.wire.set_members(settings.voters)
 
@@ -186,8 +217,9 @@
 
     async def close(self) -> None:
         """Hand the address over and release the lease if this router holds it, and close the socket."""
-        if self.polling is not None:
-            self.polling.cancel()
+        for task in (self.following, self.polling):
+            if task is not None:
+                task.cancel()
         if self.election.role is Role.HOLDER:
             self.post(messages.Move())
         if self.withdrawal is not None:
--- a/myrtlecourse/address/setup.py
+++ b/myrtlecourse/address/setup.py
@@ -9,9 +9,8 @@
 
 from myrtlecourse.address.driver import AddressDriver
 from myrtlecourse.address.link import CommandLink, Link, SwitchLink
-from myrtlecourse.address.votes import VotesError, read_votes
+from myrtlecourse.address.votes import VotesError
 from myrtlecourse.config import ConfigError
-from myrtlecourse.election.messages import Saved
 from myrtlecourse.net.pool import parse_address
 
 if TYPE_CHECKING:
@@ -57,15 +56,6 @@
         ConfigError: a file named in the table can't be used.
     """
     votes_file = Path(table.votes_file) if table.votes_file is not None else None
-    saved = Saved()
-    if votes_file is not None:
-        try:
-            saved = read_votes(votes_file)
-        except VotesError as e:
-            # without the file this router could vote twice in a term, so only an operator may remove it
-            raise ConfigError(
-                f"address.votes_file: {e}; remove it to start without it, a lease's time after the last start"
-            ) from e
     peers = {p.name: parse_address(p.at) for p in table.peers}
     key, further_keys = read_keys(table)
     try:
@@ -75,11 +65,15 @@
             key,
             make_link(table, table.name or ""),
             votes_file,
-            saved,
             able,
             on_change,
             wait_until_drained,
             further_keys,
         )
+    except VotesError as e:
+        # without the file this router could vote twice in a term, so only an operator may remove it
+        raise ConfigError(
+            f"address.votes_file: {e}; remove it to start without it, a lease's time after the last start"
+        ) from e
     except ValueError as e:
         raise ConfigError(f"address.key_file: {e}") from e
--- a/myrtlecourse/net/listener.py
+++ b/myrtlecourse/net/listener.py
@@ -88,6 +88,9 @@
         self.inherited = False  # whether the socket is inherited, so that other processes hold it as well
         # whether this process may serve clients of the service address; None if the address does not move
         self.may_serve: Callable[[], bool] | None = None
+        # cleared while clients of an inherited socket are left to another process of this router
+        self.accepting = asyncio.Event()
+        self.accepting.set()
         self.loop: asyncio.AbstractEventLoop  # set by `start`
         self.acceptor: Acceptor  # set by `start`
 
@@ -105,10 +108,11 @@
             self.socket.setblocking(False)
             self.inherited = True
         self.acceptor = Acceptor(self.socket, self._take_client)
-        self.tasks = [
-            asyncio.create_task(self.acceptor.run()),
-            asyncio.create_task(self._enforce_time_limits()),
-        ]
+        self.tasks = [asyncio.create_task(self._accept()), asyncio.create_task(self._enforce_time_limits())]
+
+    async def _accept(self) -> None:
+        await self.accepting.wait()
+        await self.acceptor.run()
 
     async def _take_client(self, client: socket.socket) -> None:
         """Set up the connection of an accepted client, and make room for it."""
--- a/myrtlecourse/service.py
+++ b/myrtlecourse/service.py
@@ -231,10 +231,12 @@
     async def _shut_down(self) -> None:
         """Finish the accepted requests and close the subsystems, both before a SIGKILL may follow."""
         loop = asyncio.get_running_loop()
-        inherited = self.inherited is not None
+        # clients of an inherited socket are left to the next process, but not those of a service address that
+        # this process holds
+        followed = self.inherited is not None and self.listener.may_serve is None
         logging.info(
             "shutting down: no new connections %s",
-            "from now on" if inherited else f"in {FRONT_REACTION_TIME:g} s",
+            "from now on" if followed else f"in {FRONT_REACTION_TIME:g} s",
         )
         self.shutting_down = True
         # open requests may have been accepted under settings with longer deadlines than the present ones
@@ -246,7 +248,7 @@
         self.host.set_answer_deadline(longest)
         subsystems = self.subsystems
         closing = asyncio.create_task(subsystems.close()) if subsystems is not None else None
-        if closing is not None and not inherited:
+        if closing is not None and not followed:
             # clients still connect to this router until another one has the service address
             await asyncio.wait([closing], timeout=longest - FRONT_REACTION_TIME)
         await self.listener.stop(FRONT_REACTION_TIME, ends_at - loop.time())
@@ -273,6 +275,8 @@
         if call.kind is Kind.READY:
             if self.host.accepts_clients():
                 return Response(HTTPStatus.OK, "ready")
+            if self.host.has_usable_server() and not self.listener.accepting.is_set():
+                return Response(HTTPStatus.OK, "ready to take over")
             if self.host.has_usable_server():
                 return Response(HTTPStatus.SERVICE_UNAVAILABLE, "the service address is elsewhere")
             reason = "no cache server is known" if self.host.in_service else "out of service"
--- a/myrtlecourse/subsystems.py
+++ b/myrtlecourse/subsystems.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import time
 from collections.abc import Callable
@@ -55,6 +56,7 @@
         self.gossip_socket: GossipSocket | None = None  # communication with other routers about zones
         self.address_work: AddressWork | None = None  # if the service address is one of the duties
         self.duty_driver: DutyDriver | None = None
+        self.standing_by: asyncio.Task[None] | None = None  # while another process may hold the address
         self.spread_driver: SpreadDriver | None = None  # distribution of changes and purges
 
     async def start(self) -> None:
@@ -81,6 +83,8 @@
 
     async def close(self) -> None:
         """Hand over or release all that this router holds, and stop communicating."""
+        if self.standing_by is not None:
+            self.standing_by.cancel()
         if self.gossip_socket is not None:
             self.gossip_socket.close()
         if self.address_driver is not None:
@@ -171,14 +175,27 @@
         self.service.listener.may_serve = self.address_driver.may_serve
         self._on_address_change(False)
         own = next(p.at for p in table.peers if p.name == table.name)
+        shared = self._accept_once_listening(self.address_driver)
         try:
-            logging.info(
-                "election of the service address: UDP socket on %s:%d",
-                *await self.address_driver.start(parse_address(own)),
-            )
+            await self.address_driver.start(parse_address(own), shared)
         except OSError as e:
             raise ConfigError(f"{self.path}: address.peers: {own}: {e}") from e
 
+    def _accept_once_listening(self, driver: AddressDriver | DutyDriver) -> bool:
+        """Return whether another process of this router may hold the service address, during an upgrade.
+
+        Until that one has closed its socket for the election, clients on the inherited socket are left to it.
+        """
+        shared = self.service.inherited is not None
+        if shared:
+            self.service.listener.accepting.clear()
+            self.standing_by = asyncio.create_task(self._accept_after(driver))
+        return shared
+
+    async def _accept_after(self, driver: AddressDriver | DutyDriver) -> None:
+        await driver.listening.wait()
+        self.service.listener.accepting.set()
+
     def _add_address_duty(self, table: Address, driver: DutyDriver) -> None:
         """Make the service address the first of the duties."""
         from myrtlecourse.address.duty import AddressWork  # noqa: PLC0415  (an optional dependency)
@@ -192,6 +209,7 @@
         driver.works[ADDRESS] = self.address_work
         driver.abilities[ADDRESS] = lambda: self._can_serve(table)
         self.service.listener.may_serve = self.address_work.may_serve
+        self._accept_once_listening(driver)
         self._on_address_change(False)
 
     async def _start_duties(self, file: OperatorsFile, table: Duties) -> None:
--- a/tests/test_address.py
+++ b/tests/test_address.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import signal
+import socket
 import stat
 import sys
 from collections.abc import AsyncIterator
@@ -295,15 +296,7 @@
         settings = messages.Settings("a", THREE)
         peers = dict.fromkeys(THREE, ("127.0.0.1", 1))
         driver = AddressDriver(
-            settings,
-            peers,
-            KEY,
-            Silent(),
-            folder / "file",
-            messages.Saved(),
-            lambda: True,
-            lambda _: None,
-            emptied,
+            settings, peers, KEY, Silent(), folder / "file", lambda: True, lambda _: None, emptied
         )
         driver.election.startup_wait_until = 0.0
         driver.loop = asyncio.get_running_loop()
@@ -329,6 +322,7 @@
         self.cluster = cluster
         self.switch = switch
         self.routers: dict[str, Process] = {}
+        self.sockets: dict[str, socket.socket] = {}  # that routers inherit
         (folder / "key").write_bytes(KEY)
 
     def write(
@@ -364,13 +358,19 @@
         return file
 
     async def start(self, name: str) -> Process:
-        """Starts or restarts a router."""
+        """Starts or restarts a router, or a second process of one whose socket is inherited."""
         file = self.write(name)
+        if name in self.sockets:
+            self.cluster.inherit, self.cluster.socket = True, self.sockets[name]
         config = self.folder / f"{name}.json"
         config.write_bytes(
             orjson.dumps({**self.cluster.config(), "listen": format_address(self.switch.routers[name])})
         )
-        self.routers[name] = await self.cluster.start(RELAY_CONFIG=str(config), MYRTLECOURSE_FILE=str(file))
+        shared = self.folder / f"{name}.shared"
+        shared.mkdir(exist_ok=True)
+        self.routers[name] = await self.cluster.start(
+            RELAY_CONFIG=str(config), MYRTLECOURSE_FILE=str(file), TMPDIR=str(shared)
+        )
         return self.routers[name]
 
     async def holder(self, other_than: str = "") -> str:
@@ -394,17 +394,21 @@
 
 
 @asynccontextmanager
-async def places(folder: Path, duty: bool = False) -> AsyncIterator[AddressFleet]:
+async def places(folder: Path, duty: bool = False, inherit: bool = False) -> AsyncIterator[AddressFleet]:
     async with site(folder) as cluster:
         switch = AddressSwitch({name: free_address() for name in THREE})
         await switch.start()
         await switch.relays.open({name: free_address() for name in THREE})
         fleet = AddressFleet(folder, cluster, switch, duty)
+        if inherit:
+            fleet.sockets = {name: socket.create_server(at) for name, at in switch.routers.items()}
         try:
             await asyncio.gather(*(fleet.start(name) for name in THREE))
             yield fleet
         finally:
             switch.close()
+            for each in fleet.sockets.values():
+                each.close()
 
 
 async def status(process: Process) -> dict[str, Any]:
--- a/tests/test_address_handover.py
+++ b/tests/test_address_handover.py
@@ -11,11 +11,13 @@
 import pytest
 
 from tests.loopback import TIMEOUT, read, run
-from tests.test_address import THREE, AddressFleet, places
+from tests.test_address import THREE, AddressFleet, places, status
+from tests.test_service import Process
 
 CLIENTS = 6
 PAUSE = 0.02  # seconds between the requests of one client
 LONG_REQUEST = 0.2  # seconds for which a request still goes on when the holder is to give up the address
+READY_TIME = 6.0  # seconds in which the new process of an upgrade says that it is ready
 TRIES = 2  # a client repeats once what a router closed on unread
 
 
@@ -105,3 +107,46 @@
                     assert await fleet.routers[first].process.wait() == 0
 
     run(scenario)
+
+
+async def wait_until_ready(process: Process) -> None:
+    async with asyncio.timeout(READY_TIME):
+        while (await process.call("GET", "ready"))[0] != 200:
+            await asyncio.sleep(0.02)
+
+
+# Guards against a new process that can't start beside the holder, or closes connections that are for it.
+@pytest.mark.processes
+@pytest.mark.parametrize("duty", [False, True], ids=["by itself", "as a duty"])
+def test_an_upgrade_of_the_holder_hands_over_and_the_new_process_takes_part(
+    duty: bool, tmp_path: Path
+) -> None:
+    async def scenario() -> None:
+        async with places(tmp_path, duty, inherit=True) as fleet:
+            first = await fleet.holder()
+            await fleet.wait_for_promises(first)
+            requests = NewConnections(fleet)
+            clients = [asyncio.create_task(requests.run()) for _ in range(CLIENTS)]
+            old = fleet.routers[first]
+            new = await fleet.start(first)
+            await wait_until_ready(new)
+            await asyncio.sleep(0.3)  # both processes have the socket
+            assert requests.served and fleet.switch.holder == first
+            old.process.send_signal(signal.SIGTERM)
+            second = await fleet.holder(first)
+            async with asyncio.timeout(TIMEOUT):
+                assert await old.process.wait() == 0
+                while (await status(new))["word_given_to"] != second:
+                    await asyncio.sleep(0.01)
+                while (await fleet.routers[second].call("PUT", f"address/move/{first}"))[0] != 200 or (
+                    await fleet.holder(second)
+                ) != first:
+                    await asyncio.sleep(0.1)
+            served = requests.served
+            while requests.served == served:
+                await asyncio.sleep(0.01)
+            for client in clients:
+                client.cancel()
+            assert not requests.unanswered and not requests.refused
+
+    run(scenario)
