Refuse commands on open connections once the lease of the service address is over

Cause: the lease was asked for new connections alone; the drain that its end starts refuses only after 1.5 s.

Change: the listener is asked for each command, by the clock of that moment; without a lease the answer is -BUSY.

--- a/myrtlecourse/net/clients.py
+++ b/myrtlecourse/net/clients.py
@@ -263,6 +263,9 @@
             if refusal is None and self.may_have_left(self.command_age):
                 rate_limited_log.log(logging.INFO, "refused commands of a client that may have left unseen")
                 refusal = busy_answer(self.host.settings.max_retry_after)
+            if refusal is None and not self.listener.serves_clients():
+                rate_limited_log.log(logging.INFO, "refused commands: the service address is elsewhere")
+                refusal = busy_answer(0.0)
             # This fast path exists because refusals take a saturated core's time from other requests, and
             # most of them are retried.
             if refusal is not None and not self.slots and self.reading and not self.no_more_commands:
--- a/myrtlecourse/net/listener.py
+++ b/myrtlecourse/net/listener.py
@@ -110,13 +110,21 @@
         self.acceptor = Acceptor(self.socket, self._take_client)
         self.tasks = [asyncio.create_task(self._accept()), asyncio.create_task(self._enforce_time_limits())]
 
+    def serves_clients(self) -> bool:
+        """Return whether this process may serve clients now; must be asked for each connection and command.
+
+        A process whose lease of the service address is over must take nothing more, as another router may
+        hold the address.
+        """
+        return self.may_serve is None or self.may_serve()
+
     async def _accept(self) -> None:
         await self.accepting.wait()
         await self.acceptor.run()
 
     async def _take_client(self, client: socket.socket) -> None:
         """Set up the connection of an accepted client, and make room for it."""
-        if self.may_serve is not None and not self.may_serve():
+        if not self.serves_clients():
             # This process has lost the service address, for example while it was suspended; the client meant
             # the present holder.
             client.close()
--- a/tests/test_address_handover.py
+++ b/tests/test_address_handover.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import signal
 import time
+from collections import deque
 from contextlib import suppress
 from pathlib import Path
+from typing import Any
 
 import pytest
 
-from tests.loopback import TIMEOUT, read, run
+from tests.loopback import TIMEOUT, Link, read, run
 from tests.test_address import THREE, AddressFleet, places, status
 from tests.test_service import Process
 
@@ -18,6 +21,7 @@
 PAUSE = 0.02  # seconds between the requests of one client
 LONG_REQUEST = 0.2  # seconds for which a request still goes on when the holder is to give up the address
 READY_TIME = 6.0  # seconds in which the new process of an upgrade says that it is ready
+SLOW_ANSWER = 0.05  # seconds
 TRIES = 2  # a client repeats once what a router closed on unread
 
 
@@ -150,3 +154,72 @@
             assert not requests.unanswered and not requests.refused
 
     run(scenario)
+
+
+class SlowAnswers(dict[str, asyncio.Event]):
+    """Has the cache servers answer each request after a short time."""
+
+    def __contains__(self, request: object) -> bool:
+        return True
+
+    def __missing__(self, request: str) -> asyncio.Event:
+        answered = asyncio.Event()
+        asyncio.get_running_loop().call_later(SLOW_ANSWER, answered.set)
+        return answered
+
+
+class PipeliningClients:
+    """Clients of one router that always have commands out on their connections, so that none is ever idle."""
+
+    def __init__(self) -> None:
+        self.late = False  # whether another router holds the address
+        self.answers: dict[str, Any] = {}
+
+    async def run(self, number: int, client: Link) -> None:
+        """Send commands until the connection ends."""
+        requests: deque[str] = deque()
+        answering = asyncio.create_task(self._receive(client, requests))
+        for count in itertools.count():
+            if answering.done():
+                return
+            requests.append(f"{'late' if self.late else 'early'}-{number}-{count}")
+            client.write(read(requests[-1]))
+            await asyncio.sleep(SLOW_ANSWER / 5)
+
+    async def _receive(self, client: Link, requests: deque[str]) -> None:
+        with suppress(AssertionError, OSError):
+            while True:
+                answer = await client.resp()
+                self.answers[requests.popleft()] = answer
+
+
+# Guards against a holder that goes on taking commands on open connections once its lease is over.
+@pytest.mark.processes
+@pytest.mark.parametrize("duty", [False, True], ids=["by itself", "as a duty"])
+def test_a_holder_whose_lease_is_over_takes_no_commands_on_open_connections(
+    duty: bool, tmp_path: Path
+) -> None:
+    async def scenario() -> None:
+        async with places(tmp_path, duty) as fleet:
+            first = await fleet.holder()
+            await fleet.wait_for_promises(first)
+            fleet.cluster.slow = SlowAnswers()
+            clients = PipeliningClients()
+            links = [
+                Link(*await asyncio.open_connection(*fleet.switch.routers[first])) for _ in range(CLIENTS)
+            ]
+            running = [asyncio.create_task(clients.run(n, link)) for n, link in enumerate(links)]
+            await asyncio.sleep(0.2)
+            assert clients.answers
+            fleet.switch.ignored_routers.add(first)  # the withdrawal is lost, too
+            fleet.switch.split({first})
+            await fleet.holder(first)
+            clients.late = True
+            await asyncio.wait(running, timeout=2.0)
+            late = {request: answer for request, answer in clients.answers.items() if request[0] == "l"}
+            assert all("BUSY" in str(answer) for answer in late.values())
+            assert not [request for _, request in fleet.cluster.seen if request.startswith("late")]
+            for task in running:
+                task.cancel()
+
+    run(scenario)
