End with 0 on SIGTERM from the program's first line on

Cause: the handler came with the event loop, after all imports and the configuration; the package's __init__ alone imported the decision module before the first line of __main__.

Ruled out: `trap` in the shell, which would lose the signal.

Change: one small module handles early SIGHUP, SIGTERM and SIGINT and is imported first; what __main__ had is in program.py; the package exports lazily. The stand-in fleet counts a process that it told to end, and that ended with 0, as ended; it took it for one that did not start. A crash counts as before.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -21,11 +21,13 @@
 # not compiled, as nothing would be gained: modules that run rarely, serve another host, or use a library that
 # returns other types than it declares
 UNCOMPILED = (
+    "__init__.py",
     "__main__.py",
     "config.py",
     "subsystems.py",
     "service.py",
-    "reload_signal.py",
+    "early_signals.py",
+    "program.py",
     "wirehost.py",
     "net/http.py",
     "net/discovery.py",
--- a/deploy/start.py
+++ b/deploy/start.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+import os
+import signal
 import sys
 
-import compiled
+for each in (signal.SIGTERM, signal.SIGINT):  # a router that is told to end before it begins owes nothing
+    signal.signal(each, lambda *_: os._exit(0))
+
+import compiled  # noqa: E402
 
 target = compiled.folder()
 sys.path[0] = str(target if target.exists() else compiled.ROOT)
--- a/myrtlecourse/fleet/routers.py
+++ b/myrtlecourse/fleet/routers.py
@@ -108,10 +108,16 @@
         return environment
 
     async def start(self, replaced: asyncio.subprocess.Process | None = None) -> None:
-        """Start the process and wait until it listens and, if operators call it, accepts their calls."""
+        """Start the process and wait until it listens and, if operators call it, accepts their calls.
+
+        Returns early if it is told to end meanwhile and ends with 0.
+
+        Raises:
+            RouterError: it did not start.
+        """
         written = self.log.stat().st_size if self.log.exists() else 0
         with self.log.open("ab") as log:
-            self.process = await asyncio.create_subprocess_exec(
+            process = self.process = await asyncio.create_subprocess_exec(
                 *shlex.split(self.command),
                 env=self._environment(),
                 pass_fds=() if self.listening_socket is None else (self.listening_socket.fileno(),),
@@ -127,7 +133,10 @@
         until = time.monotonic() + START_TIME
         expected_line = LISTENING if self.listening_socket is None else TAKES_CALLS
         while expected_line not in (text := self.log.read_bytes()[written:]):
-            if self.process.returncode is not None or time.monotonic() > until:
+            told_to_end = process is not self.process or not self.should_run
+            if told_to_end and process.returncode == 0:
+                return
+            if process.returncode is not None or time.monotonic() > until:
                 raise RouterError(f"{self.name} did not start:\n{text.decode(errors='replace')[-2000:]}")
             await asyncio.sleep(0.02)
         host, _, port = text.split(LISTENING)[1].split()[0].decode().rpartition(":")
@@ -135,8 +144,8 @@
         if TAKES_CALLS in text:
             host, _, port = text.split(TAKES_CALLS)[1].split()[0].decode().rpartition(":")
             self.ops = host, int(port)
-        self.watch = asyncio.create_task(self._watch(self.process))
-        self.memory_watch = asyncio.create_task(self._watch_memory(self.process))
+        self.watch = asyncio.create_task(self._watch(process))
+        self.memory_watch = asyncio.create_task(self._watch_memory(process))
 
     def pids(self) -> list[int]:
         """Return the ids of the running processes: two during an upgrade."""
--- a/myrtlecourse/service.py
+++ b/myrtlecourse/service.py
@@ -18,6 +18,7 @@
 
 from myrtlecourse import interface as api
 from myrtlecourse.config import Config, ConfigError, read_file, read_reload
+from myrtlecourse.early_signals import END_SIGNALS, early_signals
 from myrtlecourse.net.client_memory import ClientMemory, available_bytes
 from myrtlecourse.net.descriptors import DescriptorBudget
 from myrtlecourse.net.discovery import Discovery, WatchTimeouts
@@ -38,7 +39,6 @@
 from myrtlecourse.ops.server_list_file import ServerListFile, ServerListRecord
 from myrtlecourse.ops.store import OrderStore
 from myrtlecourse.overload.core import CoreAdmission
-from myrtlecourse.reload_signal import early_reload
 from myrtlecourse.subsystems import DISABLED_MESSAGES, Subsystems
 
 # seconds; the platform may send SIGKILL once the longest deadline and this have passed since SIGTERM
@@ -56,7 +56,6 @@
 SCARCE_MEMORY = 7 / 8  # share of the limit from which on memory is scarce, which is logged
 POLL_INTERVAL = 0.1  # seconds between polls of the orders and claims of other processes of this router
 FIRST_LIST_TIMEOUT = 1.0  # seconds to wait for a fresh list at an upgrade, before the saved one is used
-END_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 bounded = RateLimitedLog(logging.getLogger(__name__))
 
 
@@ -168,7 +167,7 @@
         """Serve until SIGTERM, then finishes the accepted requests and shuts down. Raises ConfigError."""
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGHUP, self.reload)
-        if early_reload.pending:
+        if early_signals.reload_pending:
             self.reload()
         terminated = asyncio.Event()
         for each in END_SIGNALS:
--- a/tests/test_reload_signal.py
+++ b/tests/test_early_signals.py
@@ -7,6 +7,7 @@
 import shlex
 import signal
 import subprocess
+import sys
 import time
 import tomllib
 from contextlib import suppress
@@ -15,9 +16,9 @@
 import orjson
 import pytest
 
+from myrtlecourse.early_signals import END_SIGNALS, EarlySignals
 from myrtlecourse.fleet.routers import COMMAND
-from myrtlecourse.reload_signal import ReloadSignal
-from tests.loopback import run
+from tests.loopback import TIMEOUT, run
 from tests.test_main import GOOD
 from tests.test_wirehost import CONF
 
@@ -30,15 +31,53 @@
 
 
 def test_an_early_signal_is_remembered() -> None:
-    before = signal.getsignal(signal.SIGHUP)
-    early = ReloadSignal()
+    before = {each: signal.getsignal(each) for each in (signal.SIGHUP, *END_SIGNALS)}
+    early = EarlySignals()
     try:
         early.listen()
-        assert not early.pending
+        assert not early.reload_pending
         os.kill(os.getpid(), signal.SIGHUP)
-        assert early.pending
+        assert early.reload_pending
     finally:
-        signal.signal(signal.SIGHUP, before)
+        for each, handler in before.items():
+            signal.signal(each, handler)
+
+
+# Guards against a router that ends by the signal, as if it had crashed, when it is told to end as it starts.
+@pytest.mark.processes
+@pytest.mark.parametrize("further", END_SIGNALS)
+@pytest.mark.parametrize(
+    ("program", "library"),
+    [(("-m", "myrtlecourse"), "orjson"), ((str(ROOT / "deploy/start.py"),), "platform")],
+    ids=["sources", "deployed"],
+)
+def test_a_router_that_is_told_to_end_while_it_imports_its_libraries_ends_with_0(
+    program: tuple[str, ...], library: str, further: signal.Signals, tmp_path: Path
+) -> None:
+    reached = tmp_path / "reached"
+    stand_in = f"import pathlib, time\npathlib.Path({str(reached)!r}).touch()\ntime.sleep(60)\n"
+    (tmp_path / f"{library}.py").write_text(stand_in)
+    router = subprocess.Popen(
+        [sys.executable, *program], cwd=ROOT, env={**os.environ, "PYTHONPATH": str(tmp_path)}
+    )
+    try:
+        while not reached.exists():
+            assert router.poll() is None
+            time.sleep(0.01)
+        router.send_signal(further)
+        assert router.wait(timeout=TIMEOUT) == 0
+    finally:
+        router.kill()
+        router.wait()
+
+
+# Guards against imports before the first line that can handle a signal, which took a tenth of a second.
+@pytest.mark.processes
+def test_nothing_large_is_imported_before_signals_are_handled() -> None:
+    code = "import sys, myrtlecourse.__main__; print(*sys.modules)"
+    loaded = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout
+    assert "myrtlecourse.early_signals" in loaded
+    assert not {"asyncio", "dataclasses", "logging", "myrtlecourse.policy"} & set(loaded.split())
 
 
 @pytest.mark.processes
--- a/tests/test_main.py
+++ b/tests/test_main.py
@@ -16,7 +16,7 @@
 import orjson
 import pytest
 
-from myrtlecourse import __main__ as program
+from myrtlecourse import program
 from myrtlecourse.config import read_config
 from myrtlecourse.net.pool import parse_address
 from myrtlecourse.net.servers import CacheConnection
--- a/tests/test_zones.py
+++ b/tests/test_zones.py
@@ -827,9 +827,7 @@
 
 @pytest.mark.processes
 def test_without_the_file_nothing_of_it_is_loaded() -> None:
-    code = (
-        "import sys, myrtlecourse.__main__; print([m for m in sys.modules if m.startswith('myrtlecourse')])"
-    )
+    code = "import sys, myrtlecourse.program; print([m for m in sys.modules if m.startswith('myrtlecourse')])"
     loaded = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True).stdout
     assert "policy.router" in loaded
     assert not any(f"myrtlecourse.{part}" in loaded for part in OPTIONAL_PACKAGES)
