--- a/tests/test_address_handover.py
+++ b/tests/test_address_handover.py
@@ -223,3 +223,28 @@
                 task.cancel()
 
     run(scenario)
+
+
+# Guards against requests closed on unread where the address has nowhere to go, or its next holder ends too.
+@pytest.mark.processes
+@pytest.mark.parametrize("pause", [0.0, 0.2], ids=["at once", "one after another"])
+def test_routers_that_are_told_to_end_together_answer_what_comes_and_end(
+    pause: float, tmp_path: Path
+) -> None:
+    async def scenario() -> None:
+        async with places(tmp_path) as fleet:
+            first = await fleet.holder()
+            await fleet.wait_for_promises(first)
+            requests = NewConnections(fleet)
+            clients = [asyncio.create_task(requests.run()) for _ in range(CLIENTS)]
+            await asyncio.sleep(0.2)
+            for name in (first, *(n for n in THREE if n != first)):
+                fleet.routers[name].process.send_signal(signal.SIGTERM)
+                await asyncio.sleep(pause)
+            async with asyncio.timeout(TIMEOUT):
+                assert [await r.process.wait() for r in fleet.routers.values()] == [0, 0, 0]
+            for client in clients:
+                client.cancel()
+            assert requests.served and not requests.unanswered and not requests.refused
+
+    run(scenario)
