Greet voters at the start, so that the first question for a vote between two is not dropped

Callers saw: after SIGTERM to the holder nobody had the address for up to 0.55 s (heartbeat 0.2 s), where `move` took 0.16 s.

Cause: two voters that had only heard the holder did not know each other's start, and a datagram that names no known start is answered with a greeting and dropped. The first pre-vote was lost, and asked again a heartbeat later or when the lease was over. With the old holder gone, its vote could not make up for that. Seen in the voters' status every 20 ms: both released at once, then both `trying` for 0.2 s each, then elected.

Ruled out: a lost release (both voters had it within 24 ms), the socket closed too soon (the same with 50 ms more).

Change: a process greets all members when it takes part, the address as well as duties, and answers the greeting of a start that it has not greeted yet, once.

A line that is logged at each attempt to get the old process's socket is logged once.

--- a/myrtlecourse/address/driver.py
+++ b/myrtlecourse/address/driver.py
@@ -101,6 +101,7 @@
 
     def _take_part(self, at: Endpoint) -> None:
         log.info("election of the service address: UDP socket on %s:%d", *at)
+        self.greet_all()
         self.polled_at = time.monotonic()
         self.polling = asyncio.create_task(self._poll())
 
--- a/myrtlecourse/duties/driver.py
+++ b/myrtlecourse/duties/driver.py
@@ -130,9 +130,7 @@
 
     def _take_part(self, at: Endpoint) -> None:
         log.info("duties: listening for other routers on %s:%d", *at)
-        for name in self.settings.members:
-            if name != self.settings.name:
-                self.send(name, self.wire.hello(name))
+        self.greet_all()
         self.polled_at = time.monotonic()
         self.running.append(asyncio.create_task(self._poll()))
 
--- a/myrtlecourse/peers/peer_socket.py
+++ b/myrtlecourse/peers/peer_socket.py
@@ -29,6 +29,7 @@
         self.listening = asyncio.Event()  # set from when the socket is open for the first time
         self.timer: asyncio.TimerHandle | None = None
         self.sent = self.bytes_sent = 0
+        self.greeted_starts: dict[str, int] = {}  # member -> the start whose greeting was answered last
 
     def message_received(self, sender: str, message: Message) -> None:
         """Process a message, which was sealed for this process and is passed on once."""
@@ -54,11 +55,14 @@
         the other process may promise more. Why the address can't be used is not told apart, as not every
         event loop says so.
         """
+        logged = ""
         while True:
             try:
                 return await self.listen(bind)
             except OSError as e:
-                bounded.log(logging.INFO, "not listening for other routers yet: %s", e)
+                if str(e) != logged:
+                    logged = str(e)
+                    bounded.log(logging.INFO, "not listening for other routers yet: %s", e)
             await asyncio.sleep(LISTEN_RETRY)
 
     def send(self, to: str, data: bytes) -> None:
@@ -75,10 +79,24 @@
             bounded.log(logging.WARNING, "dropped a datagram from %s:%s: %s", addr[0], addr[1], e)
             return
         if message is Control.STALE:
-            self.send(sender, self.wire.hello(sender))
+            self.greet(sender)
+        elif message is Control.GREETING:
+            start = self.wire.senders[sender].start
+            if self.greeted_starts.get(sender) != start:  # its process does not know this one yet
+                self.greeted_starts[sender] = start
+                self.greet(sender)
         elif not isinstance(message, Control):
             self.message_received(sender, message)
 
+    def greet(self, member: str) -> None:
+        """Tell a member the start of this process, without which it would drop this one's first message."""
+        self.send(member, self.wire.hello(member))
+
+    def greet_all(self) -> None:
+        """Greet all other members."""
+        for member in self.wire.senders:
+            self.greet(member)
+
     def error_received(self, exc: Exception) -> None:
         bounded.log(logging.INFO, "another router can't be reached: %s", exc)
 
