--- a/bench/address_move.py
+++ b/bench/address_move.py
@@ -106,9 +106,13 @@
         router = self.routers[name]
         router.address = self.switch.routers[name]
         router.configure(self.fleet.configuration(self.names.index(name)))
-        os.environ["MYRTLECOURSE_FILE"] = str(self.write_operators_file(name))
+        self.set_operators_file(name)
         await router.start()
 
+    def set_operators_file(self, name: str) -> None:
+        """Have the process that is started next read this router's operators' file."""
+        os.environ["MYRTLECOURSE_FILE"] = str(self.write_operators_file(name))
+
     async def wait_for_holder(self, other_than: str = "") -> str:
         """Wait until a router holds the address, and return its name."""
         while (name := self.switch.holder) in ("", other_than):
