Refuse at the start an election's address that no process of this machine can have

With an inherited socket the new process of an upgrade waits until it gets the address of its election, whatever the error, as uvloop does not say which it was. A plain socket is bound once to tell the two apart. The new test fails without the check in both forms (no error), passes with it.

--- a/myrtlecourse/address/driver.py
+++ b/myrtlecourse/address/driver.py
@@ -84,6 +84,7 @@
         once that has closed its socket. Raises OSError.
         """
         if shared:
+            self.check_address(bind)
             self.following = asyncio.create_task(self._follow(bind))
         else:
             self._take_part(await self.listen(bind))
--- a/myrtlecourse/duties/driver.py
+++ b/myrtlecourse/duties/driver.py
@@ -106,6 +106,7 @@
         once that has closed its socket. Raises OSError.
         """
         if shared:
+            self.check_address(bind)
             self.running.append(asyncio.create_task(self._follow(bind)))
         else:
             self._take_part(await self.listen(bind))
--- a/myrtlecourse/peers/peer_socket.py
+++ b/myrtlecourse/peers/peer_socket.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import logging
+import socket
 import time
 from collections.abc import Callable
 from typing import Any, Generic, TypeVar
@@ -48,6 +50,20 @@
         host, port = transport.get_extra_info("sockname")[:2]
         return host, port
 
+    @staticmethod
+    def check_address(bind: Endpoint) -> None:
+        """Check an address that another process of this router may have.
+
+        Raises:
+            OSError: the address can't be used, for another reason than that a process has it.
+        """
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+            try:
+                probe.bind(bind)
+            except OSError as e:
+                if e.errno != errno.EADDRINUSE:
+                    raise
+
     async def listen_when_free(self, bind: Endpoint) -> Endpoint:
         """Open the socket once no other process has its address, as during an upgrade, and return it.
 
--- a/tests/test_greetings.py
+++ b/tests/test_greetings.py
@@ -66,3 +66,15 @@
             await driver.close()
 
     run(scenario)
+
+
+# Guards against a process of an upgrade that waits for good for an address that is of another machine.
+@pytest.mark.parametrize("kind", ["address", "duties"])
+def test_an_address_that_can_never_be_had_is_refused_at_the_start(kind: str, tmp_path: Path) -> None:
+    async def scenario() -> None:
+        driver = make_driver(kind, "b", dict.fromkeys(MEMBERS, ("127.0.0.1", 1)), tmp_path)
+        with pytest.raises(OSError, match="assign"):
+            await driver.start(("192.0.2.1", 7), shared=True)
+        await driver.close()
+
+    run(scenario)
