Check elections' messages by typed schemas, which hold in the compiled form too

Cause: both codecs compared a field's annotation with a text. Compiled classes state types, so that each question for a vote was dropped as malformed. No check saw it, as only tests of the network ran compiled.

Ruled out: the election itself, and sealing (spread's messages pass).

Change: each message has a schema in the types of msgspec; address and duties share the election's, the spread reads its own by the same call. The wire form is stated by tests that pass on the code before too. The test that draws messages reads fields' types in both forms. A build takes all modules from one copy of the sources: one that ran while files changed mixed two versions.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -52,6 +52,8 @@
     "address/setup.py",
     "address/votes.py",
     "address/codec.py",
+    "election/schema.py",
+    "peers/message_schema.py",
     "peers/peer_socket.py",
     "peers/gossip.py",
     "peers/records.py",
@@ -130,7 +132,7 @@
             env=os.environ | {"MYPYC_OPT_LEVEL": "2"},
         )
         for name in UNCOMPILED:
-            shutil.copy(compiled.PACKAGE / name, output / compiled.PACKAGE.name / name)
+            shutil.copy(copy / compiled.PACKAGE.name / name, output / compiled.PACKAGE.name / name)
         output.rename(target)
 
 
--- a/myrtlecourse/address/codec.py
+++ b/myrtlecourse/address/codec.py
@@ -2,23 +2,24 @@
 
 from __future__ import annotations
 
-from dataclasses import astuple, fields
 from typing import Any
 
-from myrtlecourse.election import messages
+from myrtlecourse.election import messages, schema
+from myrtlecourse.peers.message_schema import MessageSchema
 from myrtlecourse.peers.seal import Dropped
 
-MESSAGE_TYPES: dict[str, type[messages.Message]] = {
-    "ask": messages.Ask,
-    "grant": messages.Grant,
-    "deny": messages.Deny,
-    "beat": messages.Beat,
-    "renew": messages.Renew,
-    "release": messages.Release,
-    "take": messages.Take,
-    "invite": messages.Invite,
+# the names stand in datagrams
+SCHEMAS: dict[str, MessageSchema[Any]] = {
+    "ask": schema.ASK,
+    "grant": schema.GRANT,
+    "deny": schema.DENY,
+    "beat": schema.BEAT,
+    "renew": schema.RENEW,
+    "release": schema.RELEASE,
+    "take": schema.TAKE,
+    "invite": schema.INVITE,
 }
-TYPE_NAMES = {type_: name for name, type_ in MESSAGE_TYPES.items()}
+TYPE_NAMES = {each.message_type: name for name, each in SCHEMAS.items()}
 
 
 class ElectionCodec:
@@ -26,14 +27,13 @@
 
     def parts(self, message: messages.Message) -> list[Any]:
         """Return the name of the message's type and the values of its fields."""
-        return [TYPE_NAMES[type(message)], *astuple(message)]
+        name = TYPE_NAMES[type(message)]
+        return [name, *SCHEMAS[name].values(message)]
 
     def read(self, parts: list[Any]) -> messages.Message:
         """Return the message, after a check of its type and fields. Raises Dropped."""
-        message_type = MESSAGE_TYPES.get(parts[0]) if isinstance(parts[0], str) else None
-        if message_type is None or len(parts) != 1 + len(fields(message_type)):
+        message_schema = SCHEMAS.get(parts[0]) if isinstance(parts[0], str) else None
+        if message_schema is None:
             raise Dropped("malformed")
-        field_types = [bool if f.type == "bool" else int for f in fields(message_type)]
-        if any(type(value) is not type_ for value, type_ in zip(parts[1:], field_types, strict=True)):
-            raise Dropped("malformed")
-        return message_type(*parts[1:])
+        message: messages.Message = message_schema.read(parts[1:])
+        return message
--- a/myrtlecourse/duties/codec.py
+++ b/myrtlecourse/duties/codec.py
@@ -7,25 +7,33 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from dataclasses import astuple, fields
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
+from msgspec import Meta
 
 from myrtlecourse.duties import messages
 from myrtlecourse.duties.messages import Item, Message
 from myrtlecourse.election import messages as election
+from myrtlecourse.election import schema
+from myrtlecourse.peers.message_schema import MessageSchema, Number, read_values
 from myrtlecourse.peers.seal import Dropped
 
-# datagrams carry the index of a kind, so new kinds must be added at the end
-KINDS: tuple[type[Message], ...] = (
-    *(election.Beat, election.Renew, election.Ask, election.Grant, election.Deny),
-    *(election.Release, election.Take, election.Invite),
-    *(messages.Survey, messages.Known, messages.Order, messages.Taken, messages.Outdated),
+StateNumber = Annotated[int, Meta(ge=0, lt=messages.STATE_NUMBER_LIMIT)]
+State = Annotated[tuple[StateNumber, ...], Meta(max_length=messages.MAX_STATE_LENGTH)]
+# datagrams carry the index of a schema, so new ones must be added at the end
+SCHEMAS: tuple[MessageSchema[Any], ...] = (
+    *(schema.BEAT, schema.RENEW, schema.ASK, schema.GRANT, schema.DENY),
+    *(schema.RELEASE, schema.TAKE, schema.INVITE),
+    MessageSchema(messages.Survey, tuple[Number]),
+    MessageSchema(messages.Known, tuple[Number, Number, Number, bool, Number, State]),
+    MessageSchema(messages.Order, tuple[Number, Number, Number, Number, State]),
+    MessageSchema(messages.Taken, tuple[Number, Number, bool, Number]),
+    MessageSchema(messages.Outdated, tuple[Number]),
 )
+KINDS: tuple[type[Message], ...] = tuple(each.message_type for each in SCHEMAS)
 KIND_NUMBERS = {kind: number for number, kind in enumerate(KINDS)}
 GROUPED = (election.Beat, election.Renew)  # encoded as their number, followed by each duty with its term
-INTEGER_LIMIT = 2**63
 
 
 def encoded_groups(items: tuple[Item, ...]) -> Iterator[tuple[list[Any], int]]:
@@ -38,7 +46,8 @@
     yield from ((encoded, (len(encoded) - 2) // 2) for encoded in grouped.values())
     for duty, message in items:
         if not isinstance(message, GROUPED):
-            yield [KIND_NUMBERS[type(message)], duty, *astuple(message)], 1
+            kind = KIND_NUMBERS[type(message)]
+            yield [kind, duty, *SCHEMAS[kind].values(message)], 1
 
 
 def split(items: tuple[Item, ...], max_size: int) -> Iterator[tuple[Item, ...]]:
@@ -67,32 +76,17 @@
                 raise Dropped("malformed")
             if not 0 <= encoded[0] < len(KINDS):
                 raise Dropped("malformed")
-            items += self._read(KINDS[encoded[0]], encoded[1:])
+            items += self._read(SCHEMAS[encoded[0]], encoded[1:])
         return tuple(items)
 
-    def _read(self, kind: type[Message], values: list[Any]) -> list[Item]:
-        """Return the items of one encoded message after checking them. Raises Dropped."""
-        if issubclass(kind, GROUPED):
-            if len(values) % 2 == 0 or any(type(v) is not int or not 0 <= v < INTEGER_LIMIT for v in values):
-                raise Dropped("malformed")
-            each = zip(values[1::2], values[2::2], strict=True)
-            return [(duty, kind(term, values[0])) for duty, term in each]
-        kind_fields = fields(kind)
-        if len(values) != 1 + len(kind_fields) or type(values[0]) is not int:
-            raise Dropped("malformed")
-        checked = [self._value(f.type, value) for f, value in zip(kind_fields, values[1:], strict=True)]
-        return [(values[0], kind(*checked))]
-
     @staticmethod
-    def _value(wanted: Any, value: Any) -> Any:
-        """Return the value of a field after checking it. Raises Dropped."""
-        if wanted == "Value":
-            if not isinstance(value, list) or len(value) > messages.MAX_STATE_LENGTH:
-                raise Dropped("malformed")
-            if any(type(v) is not int or not 0 <= v < messages.STATE_NUMBER_LIMIT for v in value):
+    def _read(message_schema: MessageSchema[Any], values: list[Any]) -> list[Item]:
+        """Return the items of one encoded message after checking them. Raises Dropped."""
+        kind = message_schema.message_type
+        if kind in GROUPED:
+            number, *pairs = read_values(values, tuple[Number, ...])
+            if len(pairs) % 2:
                 raise Dropped("malformed")
-            return tuple(value)
-        kind = bool if wanted == "bool" else int
-        if type(value) is not kind or not 0 <= value < INTEGER_LIMIT:
-            raise Dropped("malformed")
-        return value
+            return [(duty, kind(term, number)) for duty, term in zip(pairs[::2], pairs[1::2], strict=True)]
+        (duty,) = read_values(values[:1], tuple[Number])
+        return [(duty, message_schema.read(values[1:]))]
--- a/myrtlecourse/spread/codec.py
+++ b/myrtlecourse/spread/codec.py
@@ -12,6 +12,7 @@
 import msgspec
 from msgspec import Meta, Struct
 
+from myrtlecourse.peers.message_schema import read_values
 from myrtlecourse.peers.seal import MAX_DATAGRAM, SEAL_SIZE, Dropped
 from myrtlecourse.peers.wire import HEADER_SIZE
 from myrtlecourse.spread import messages as msg
@@ -259,10 +260,7 @@
 
     def read(self, parts: list[Any]) -> tuple[Message, ...]:
         """Decode and validate messages. Raises Dropped when they are malformed."""
-        try:
-            decoded = msgspec.convert(parts, tuple[WireMessages, ...], builtin_types=(bytes,))
-        except (msgspec.ValidationError, OverflowError):
-            raise Dropped("malformed") from None
+        decoded = read_values(parts, tuple[WireMessages, ...])
         return tuple(self._message(each) for each in decoded)
 
     @staticmethod
--- a/tests/test_address.py
+++ b/tests/test_address.py
@@ -70,6 +70,26 @@
     assert b.dropped["replayed"] == 1
 
 
+# Guards against a codec that changes what goes over the wire: processes of two versions elect together.
+def test_the_wire_form_of_messages_is_as_it_was() -> None:
+    codec = ElectionCodec()
+    forms: list[tuple[messages.Message, list[Any]]] = [
+        (messages.Ask(3, 7, True), ["ask", 3, 7, True]),
+        (messages.Grant(3, 7, False), ["grant", 3, 7, False]),
+        (messages.Deny(4), ["deny", 4]),
+        (messages.Beat(3, 8), ["beat", 3, 8]),
+        (messages.Renew(3, 8), ["renew", 3, 8]),
+        (messages.Release(3), ["release", 3]),
+        (messages.Take(3, True), ["take", 3, True]),
+        (messages.Invite(3), ["invite", 3]),
+    ]
+    for message, parts in forms:
+        assert codec.parts(message) == parts and codec.read(parts) == message
+        for wrong in (parts[:-1], [*parts, 1], [*parts[:-1], "3"], [*parts[:-1], 0.5], ["none", *parts[1:]]):
+            with pytest.raises(Dropped, match="malformed"):
+                codec.read(wrong)
+
+
 def test_messages_may_pass_one_another_within_the_window() -> None:
     a, b = pair()
     sent = [a.pack("b", messages.Beat(1, n)) for n in range(REPLAY_WINDOW + 1)]
--- a/tests/test_duty_parts.py
+++ b/tests/test_duty_parts.py
@@ -36,8 +36,10 @@
 
 def message(kind: Any) -> Any:
     """Generates any message of a kind."""
-    makers = {"int": numbers, "bool": st.booleans(), "Value": values}
-    return st.builds(kind, *(makers[str(f.type)] for f in fields(kind)))
+    # a compiled class states its fields' types as classes, an interpreted one as texts
+    makers = {"int": numbers, "bool": st.booleans(), "Value": values, "tuple": values}
+    names = (f.type if isinstance(f.type, str) else f.type.__name__ for f in fields(kind))
+    return st.builds(kind, *(makers[name] for name in names))
 
 
 items = st.tuples(st.integers(1, 65_535), st.one_of(*map(message, KINDS)))
@@ -55,6 +57,27 @@
     assert sorted(map(repr, decoded)) == sorted(map(repr, each))
 
 
+# Guards against a codec that changes what goes over the wire: processes of two versions elect together.
+def test_the_wire_form_of_messages_is_as_it_was() -> None:
+    each: tuple[Item, ...] = (
+        (9, election.Beat(3, 8)),
+        (12, election.Beat(4, 8)),
+        (9, election.Ask(3, 7, True)),
+        (9, messages.Known(3, 2, 1, False, 5, (6, 7))),
+        (9, messages.Order(3, 1, 2000, 5, ())),
+        (9, messages.Taken(3, 1, True, 5)),
+    )
+    parts: list[list[Any]] = [
+        [0, 8, 9, 3, 12, 4],
+        [2, 9, 3, 7, True],
+        [9, 9, 3, 2, 1, False, 5, (6, 7)],
+        [10, 9, 3, 1, 2000, 5, ()],
+        [11, 9, 3, 1, True, 5],
+    ]
+    assert DutyCodec().parts(each) == parts
+    assert DutyCodec().read(msgspec.msgpack.decode(msgspec.msgpack.encode(parts))) == each
+
+
 @given(
     st.lists(st.one_of(st.integers(-5, 20), st.lists(st.one_of(st.integers(-5, 99), st.text(max_size=3)))))
 )
